Keep each front door to an arc of the catalogue servers

Cause: choose() drew 12 of all live backends anew for every attempt. Now: subset.py lays the backends on a ring that all doors derive alike; each door keeps to an arc of at least 12 warm ones, as long as it takes for 8 doors to a backend, cold ones on top, and goes beyond it to warm ones only when none of it will do. Few doors still use all. The cold budget counts those that share. Checked: a random draw per door (rendezvous) was not tried, as it leaves some backends with half the doors.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -15,6 +15,7 @@
 from orchidhill import interface as i
 from orchidhill.interface import Effect, Outcome, Scope, State
 from orchidhill.pace import Pace
+from orchidhill.subset import arc
 
 # Tuned values: seconds, units or plain ratios.
 TICK = 0.025  # how often held work is looked at
@@ -102,6 +103,7 @@
 class Backend:
     entry: i.Entry
     out: dict[tuple[int, int], float] = field(default_factory=dict)  # attempts out, oldest first
+    ring: int = 0  # its place among all, alike at every gateway
     state: State = State.READY
     latency: float = FIRST_LATENCY
     answered: float = 0.0  # when it last answered
@@ -148,7 +150,9 @@
         self.actions: list[i.Action] = []
         self.now, self.tick_at = 0.0, -math.inf  # when the timer that is set comes due
         self.scan_at, self.probe_at = 0.0, 0.0
-        self.live: list[Backend] = []  # listed ready
+        self.live: list[Backend] = []  # listed ready, in the ring's order
+        self.near: list[Backend] = []  # those of them that this gateway keeps to
+        self.near_until = math.inf
         # Mean of what backends report to hold; latencies and the loads that they met, fading sums.
         self.load, self.took, self.met = 0.0, FIRST_LATENCY, 1.0
         self.aim = min((c.aim for c in settings.classes), default=1.0)
@@ -582,17 +586,27 @@
         for entry in event.entries:
             found = self.backends.get(entry.backend)
             if found is None:
-                found = self.backends[entry.backend] = Backend(entry, answered=self.now)
+                found = Backend(entry, answered=self.now, ring=mix(entry.backend))
+                self.backends[entry.backend] = found
             if entry.started > found.entry.started or not found.cold_at:
                 found.latency, found.answered = self.latency, self.now
                 found.cold_level, found.cold_at = self.random.random(), self.now  # not all at once
             found.entry, found.state = entry, entry.state
         for gone in [b for b in self.backends.values() if b.state is State.GONE and not b.out]:
             del self.backends[gone.entry.backend]
-        self.live = [b for b in self.backends.values() if b.state is State.READY]
+        self.live = sorted(
+            (b for b in self.backends.values() if b.state is State.READY), key=lambda b: b.ring
+        )
+        self.choose_near()
         self.out = sum(len(b.out) for b in self.live)
         self.pump()
 
+    def choose_near(self) -> None:
+        """The backends to keep to; looked at again while some are cold, as they come on top."""
+        warm = [self.warmth(b) >= 1 for b in self.live]
+        self.near = [self.live[n] for n in arc(warm, self.settings.me, self.peers)]
+        self.near_until = math.inf if all(warm) else self.now + RATE_SPAN / 4
+
     def allowed(self, job: Job) -> list[Backend]:
         """Backends that the rules leave open to this job's next attempt."""
         anchors = [*job.out.values(), *([job.ran] if job.ran else [])]
@@ -621,8 +635,10 @@
         """
         rules = self.settings.rules
         rate = self.warm_sends * math.exp((self.warm_at - self.now) / RATE_SPAN) / RATE_SPAN
-        budget = COLD_SAFETY * rules.fall_multiple * warmth * rate * rules.fall_time / max(1, len(self.live))
-        budget = max(budget, LEAST_LIMIT / self.peers)  # some may warm by serving only
+        budget = COLD_SAFETY * rules.fall_multiple * warmth * rate * rules.fall_time / max(1, len(self.near))
+        # Some may warm by serving only.
+        sharers = max(1.0, self.peers * len(self.near) / max(1, len(self.live)))
+        budget = max(budget, LEAST_LIMIT / sharers)
         flow = budget / 2 / max(EPS, rules.fall_time)
         level = min(max(1.0, budget / 2), backend.cold_level + (self.now - backend.cold_at) * flow)
         backend.cold_level, backend.cold_at = level, self.now
@@ -676,14 +692,28 @@
         return self.out - hanging < most
 
     def choose(self, job: Job) -> Backend | None:
-        """The best of a few: those that the rules leave, drawn at random from a large fleet."""
+        """The best of those kept to that the rules leave, else of a few others that are warm."""
+        allowed = self.allowed(job)
+        if len(self.near) >= len(self.live):
+            return self.best(job, allowed)
+        if self.now >= self.near_until:
+            self.choose_near()
+        near = {b.entry.backend for b in self.near}
+        best = self.best(job, [b for b in allowed if b.entry.backend in near])
+        if best is None:  # a cold one has enough gateways that keep to it
+            others = [b for b in allowed if b.entry.backend not in near and self.warmth(b) >= 1]
+            best = self.best(job, others)
+        return best
+
+    def best(self, job: Job, fits: list[Backend]) -> Backend | None:
         best, best_score = None, math.inf
-        fits = self.allowed(job)
         if len(fits) > CANDIDATES:
             fits = self.random.sample(fits, CANDIDATES)
         for backend in fits:
             expected = self.expected(backend)
-            most = max(1.0, 2 * self.room * min(1.0, 1.5 * self.latency / expected))
+            most = max(
+                1.0, 2 * self.room * len(self.live) / len(self.near) * min(1.0, 1.5 * self.latency / expected)
+            )
             if len(backend.out) >= most or backend.entry.backend in job.tried[-2:]:
                 continue
             warmth = self.warmth(backend)
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -10,7 +10,7 @@
 
 ROOT = Path(__file__).parent.parent
 MODULE = ROOT / "orchidhill" / "gateway.py"
-POLICY = [MODULE, ROOT / "orchidhill" / "pace.py"]
+POLICY = [MODULE, *(ROOT / "orchidhill" / name for name in ("pace.py", "subset.py"))]
 MOST_LINES = 1200  # of all policy files, blank ones not counted: the operators run no longer module
 
 
