--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -314,9 +314,11 @@
 
     def top_up(self, lease: Lease) -> None:
         """Put on the name what its store lacked at the edge and has flowed over since, if nobody has; take
-        off what lapsed here.
+        off what lapsed here.  A unit or more does not wait for calls to be spare: meanwhile every gateway
+        that asks would be granted it.
         """
-        if abs(lease.over + lease.owed) >= DRIFT and self.may_call():
+        missing = abs(lease.over + lease.owed)
+        if missing >= 1 or (missing >= DRIFT and self.may_call()):
             lease.waiting, lease.asked, lease.taken = True, 0.0, lease.asked
             self.count(lease, lease.owed + lease.over, gives=False)
             lease.owed = 0.0
