--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -44,6 +44,7 @@
 CANDIDATES = 12  # backends looked at for an attempt: the fleet may be large
 POOL = 8  # load reports kept fresh where they must be asked for
 FRESH = 1.5  # for which a report counts; older ones say no more than the fleet's mean
+LOAD_COLUMNS = frozenset({"inflight", "queue", "util"})  # of a report, that `note` reads a load from
 UNASKED = 0.8  # strain from which only what the counter granted is let in
 RATE_SPAN = 5.0  # memory of the observed load
 MARGIN = 0.03  # time kept before a deadline or a memory span runs out
@@ -676,7 +677,9 @@
     def probe(self) -> None:
         """Ask a backend at random for its load, at most once a request and as often as keeps a pool fresh."""
         limits, how = self.settings.limits, self.settings.report_how
-        if limits.probes and how == "pull" and self.live and self.now >= self.probe_at:
+        # A report without a load is of no use here: a probe costs the backend work all the same.
+        told = LOAD_COLUMNS.intersection(self.settings.report_columns)
+        if limits.probes and how == "pull" and told and self.live and self.now >= self.probe_at:
             self.probe_at = self.now + FRESH / POOL
             self.actions.append(i.Probe(self.random.choice(self.live).entry.backend))
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -226,6 +226,13 @@
     assert all(silent > made.burden(b) - 0.5 for b in made.live) and silent > 1 + made.load
 
 
+@pytest.mark.parametrize(("columns", "asks"), [("latency_ms", False), ("latency_ms,inflight", True)])
+def test_probes_are_sent_only_for_reports_that_tell_of_load(columns: str, asks: bool) -> None:
+    made = gateway(caps__may_probe="true", report__how="pull", report__columns=columns)
+    found = [a for rid in range(20) for a in play(made, Counter(), START + rid, request(rid, customer=rid))]
+    assert any(isinstance(a, i.Probe) for a in found) == asks
+
+
 def test_reported_load_sheds_by_chance_before_latencies_tell() -> None:
     made = gateway(caps__may_probe="true", report__how="pull", report__columns="inflight")
     assert all(made.has_room() for _ in range(50))
