Try for a new watch while discovery is silent, and wait for its first list

At fault: `Source.watch` waited SILENT_AFTER = 7 s for the first list of a connection that an absent agent had taken and never answered on (discovery.py, the loop on `heard_at`). Ruled out: slow parsing (the list is there 1 ms after the connection), and the module (each such request's server was still ready in its list).

Now a watch that has said nothing for 3 s (a line is due every 2 s) is heard on, while new connections are tried every 0.25 s, each for 1 s without a byte and 5 s in all, five at the most. The first whole list takes over. A start waits 1 s for it, as `known` may be out of date and what the agent has counts from the first moment. Changes may come indented; one that cannot be read, or that is older than what is known on its connection, has the whole list read again, as a drain may be lost with it. Only whole documents and empty lines count as a sign of life, so a list that drips does not hide silence.

The test of bad lines asked for no further read of the list; it now asks for one, as a drain could be lost.

The tests for silence, indented changes, old lists and dripping ones fail without this.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -26,6 +26,7 @@
 from orchidhill.gateway import Gateway
 
 COUNTER_WAIT = 0.3  # seconds that the start waits for the counter's connections
+LIST_WAIT = 1.0  # seconds that it waits for discovery's list: `known` may be out of date, and the agent down
 LINGER = 0.6  # seconds after SIGTERM in which new connections go on coming
 
 
@@ -76,6 +77,7 @@
     async def start(self) -> None:
         if self.host.counter is not None:
             await asyncio.wait([self.host.counter.ready], timeout=COUNTER_WAIT)
+        await asyncio.wait([self.discovery.told], timeout=LIST_WAIT)
         await self.server.start()
 
     def reload(self, env: Mapping[str, str]) -> None:
--- a/ivymux/discovery.py
+++ b/ivymux/discovery.py
@@ -14,12 +14,17 @@
 import httptools
 
 from ivymux.config import Address, ConfigError, parse_address, plain
+from ivymux.documents import Documents
 from orchidhill.interface import Entry, Listing, Members, State
 
-MOST_LINE = 4 << 20  # bytes of one line; a longer one ends the watch
-SILENT_AFTER = 7.0  # seconds: an empty line comes every 2 s while the agent is well
-RETRY_FIRST, RETRY_MOST = 0.1, 1.0  # seconds between attempts to watch
-CONNECT_TIMEOUT = 1.0
+MOST_LIST = (
+    1 << 20
+)  # bytes of a list or a change, room for thousands of backends; a longer one ends the watch
+SILENT_AFTER = 3.0  # seconds: an empty line comes every 2 s while the agent is well
+RETRY_FIRST, RETRY_MOST = 0.25, 1.0  # seconds between tries to watch: well within a drain grace
+TRY_FOR = 1.0  # seconds without a byte after which a try is given up: the agent is on this machine
+LIST_FOR = 5.0  # seconds in which a try's whole list has to be there
+MOST_TRIES = 5  # connections to one agent, which take descriptors: those of a second's tries, and the watch
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 
 log = logging.getLogger(__name__)
@@ -85,7 +90,7 @@
 
 
 class Watch(asyncio.Protocol):
-    """One connection: the whole list first, then a watch, a chunked answer with one JSON object a line.
+    """One connection: the whole list first, then a watch, a chunked answer with JSON objects one by one.
 
     The whole list comes first each time, as the version to go on from may mean nothing to this agent.
     """
@@ -95,7 +100,9 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.watching = False
-        self.rest = b""
+        self.rest = b""  # of the whole list
+        self.documents = Documents()
+        self.heard_at = time.monotonic()  # while the list comes any bytes, then a document or an empty line
         self.lost: asyncio.Future[None] = source.owner.loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -107,7 +114,9 @@
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
-        self.source.heard_at = time.monotonic()
+        if not self.watching:
+            self.source.answered = True
+            self.heard_at = time.monotonic()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:  # framing is lost
@@ -118,90 +127,154 @@
             self.end(f"answered {self.parser.get_status_code()}")
 
     def on_body(self, body: bytes) -> None:
-        if self.watching:
-            *lines, self.rest = (self.rest + body).split(b"\n")
-            for line in lines:
-                if line.strip():
-                    self.source.take(line)
-        else:
+        if not self.watching:
             self.rest += body
-        if len(self.rest) > MOST_LINE:
-            self.rest = b""
-            self.end("a line without an end")
+        else:
+            for document in self.documents.feed(body):
+                self.heard_at = time.monotonic()
+                if document and not self.source.change(self, document):
+                    self.source.doubt(self)
+        if len(self.rest) + len(self.documents.rest) > MOST_LIST:
+            self.end("a list without an end")
 
     def on_message_complete(self) -> None:
         if self.transport is None or self.transport.is_closing():
             return
         if self.watching:
             self.transport.close()
-        elif not self.source.take(self.rest):
+        elif not self.source.whole(self, self.rest):
             self.end("no whole list")
         else:
             self.watching, self.rest = True, b""
             self.ask(f"/api/targets?watch=1&from={self.source.seq}")
 
     def end(self, why: str) -> None:
-        log.warning("discovery: watch ended: %s", why)
+        if self.transport is not None and not self.transport.is_closing():
+            log.warning("discovery: watch ended: %s", why)
+            self.transport.abort()
+
+    def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         if not self.lost.done():
             self.lost.set_result(None)
+        self.source.news.set()
 
 
 class Source:
-    """One agent's address, watched until it is closed."""
+    """One agent's address, watched until it is closed.
+
+    An agent that is cut off says nothing, and what is written to it then it may never answer.  What it gets
+    at its return counts at once, and the drain grace may be a second.  So a watch that is silent is not
+    waited for: connections are tried one after another until one brings the whole list and takes over.
+    """
 
     def __init__(self, owner: Discovery, address: Address) -> None:
         self.owner, self.address = owner, address
         self.seq = -1  # of the last list or change; each agent may count on its own
-        self.heard_at = 0.0
+        self.watch: Watch | None = None  # the one that brought the list
+        self.doubted = False  # whether something on it could not be read: a change may be lost with that
+        self.answered = False  # whether the agent has said anything to the last try
+        self.tries: set[asyncio.Task[None]] = set()
+        self.news = asyncio.Event()  # the watch has begun, ended or become doubtful
         self.task = owner.loop.create_task(self.run())
 
+    def well_for(self) -> float:
+        """Seconds for which the watch needs no other one beside it."""
+        watch = self.watch
+        if watch is None or watch.lost.done() or self.doubted:
+            return 0.0
+        return watch.heard_at + SILENT_AFTER - time.monotonic()
+
     async def run(self) -> None:
-        wait = RETRY_FIRST
+        wait, began = RETRY_FIRST, -RETRY_MOST
         while True:
-            began = time.monotonic()
-            with contextlib.suppress(OSError, TimeoutError):
-                await self.watch()
-            # One that lasted was well: come back at once; one that did not must not be hammered.
-            wait = RETRY_FIRST if time.monotonic() - began > 2 * RETRY_MOST else min(RETRY_MOST, 2 * wait)
+            if (well := self.well_for()) > 0:
+                self.news.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(well):
+                        await self.news.wait()
+                continue
+            # Who answers, but nothing of use, must not be hammered.
+            lasted = time.monotonic() - began > 2 * RETRY_MOST
+            wait = min(RETRY_MOST, 2 * wait) if self.answered and not lasted else RETRY_FIRST
+            self.answered, began = False, time.monotonic()
+            if len(self.tries) < MOST_TRIES:
+                task = self.owner.loop.create_task(self.attempt())
+                self.tries.add(task)
+                task.add_done_callback(self.tries.discard)
             await asyncio.sleep(wait)
 
-    async def watch(self) -> None:
-        async with asyncio.timeout(CONNECT_TIMEOUT):
-            _, watch = await self.owner.loop.create_connection(
-                lambda: Watch(self), self.address.host, self.address.port
-            )
-        self.heard_at = time.monotonic()
+    async def attempt(self) -> None:
+        """Open a connection and wait for its whole list, then until it is lost or another takes over."""
+        began = time.monotonic()
         try:
-            # A vanished peer says nothing, not even that it is gone: silence ends the watch too.
-            while (left := self.heard_at + SILENT_AFTER - time.monotonic()) > 0:
-                await asyncio.wait([watch.lost], timeout=left)
-                if watch.lost.done():
+            async with asyncio.timeout(TRY_FOR):
+                _, watch = await self.owner.loop.create_connection(
+                    lambda: Watch(self), self.address.host, self.address.port
+                )
+        except (OSError, TimeoutError):
+            return
+        try:
+            while not watch.lost.done() and not watch.watching:
+                left = min(watch.heard_at + TRY_FOR, began + LIST_FOR) - time.monotonic()
+                if left <= 0:
                     return
+                await asyncio.wait([watch.lost], timeout=left)
+            await watch.lost
         finally:
-            if watch.transport is not None:
-                watch.transport.abort()
+            watch.abort()
 
-    def take(self, line: bytes) -> bool:
-        """Tell of a list or a change; false for what is neither a whole list nor known to follow one."""
+    def read(self, document: bytes) -> tuple[Members, dict[int, Address]] | None:
         try:
-            members, addresses = self.owner.names.members(json.loads(line))
-        except (KeyError, TypeError, ValueError) as error:
-            log.warning("discovery: line skipped: %s: %s", type(error).__name__, error)
+            return self.owner.names.members(json.loads(document))
+        except (KeyError, TypeError, ValueError, RecursionError) as error:
+            log.warning("discovery: list skipped: %s: %s", type(error).__name__, error)
+            return None
+
+    def whole(self, watch: Watch, document: bytes) -> bool:
+        """Take a new connection's whole list; the watch before it is of no further use."""
+        told = self.read(document)
+        if told is None or told[0].listing is not Listing.FULL:
+            return False
+        before, self.watch, self.doubted = self.watch, watch, False
+        if before is not None:
+            before.abort()
+        self.owner.takes_over(self)
+        self.tell(told)
+        return True
+
+    def change(self, watch: Watch, document: bytes) -> bool:
+        """Tell of what comes on the watch; false for what cannot be read or is older than what is known."""
+        if watch is not self.watch or self is not self.owner.sources[0]:
+            return True  # another has taken over
+        told = self.read(document)
+        if told is None:
             return False
-        if members.listing is Listing.DELTA and members.version <= self.seq:
-            return False  # a change that is known already
-        if members.listing is Listing.FULL:
-            self.owner.takes_over(self)
-        elif self.seq < 0 or self is not self.owner.sources[0]:
-            return False  # a change to a list that was never told
-        self.seq = members.version
-        self.owner.heard(members, addresses)
+        members = told[0]
+        if members.version < self.seq or (members.listing is Listing.DELTA and members.version == self.seq):
+            # A change that is known already.  A list from before may be one of an agent that counts anew.
+            return members.listing is Listing.DELTA
+        self.tell(told)
         return True
 
+    def tell(self, told: tuple[Members, dict[int, Address]]) -> None:
+        self.seq = told[0].version
+        self.owner.tell(*told)
+
+    def doubt(self, watch: Watch) -> None:
+        """Ask for the whole list again on another connection; meanwhile this one is heard."""
+        if watch is self.watch:
+            self.doubted = True
+            self.news.set()
+
+    def close(self) -> None:
+        self.task.cancel()
+        for task in self.tries:
+            task.cancel()
+
 
 class Discovery:
     """Keeps a watch open and tells of every list and change."""
@@ -209,19 +282,25 @@
     def __init__(self, address: Address, names: Names, heard: Heard) -> None:
         self.names, self.heard = names, heard
         self.loop = asyncio.get_running_loop()
+        self.told: asyncio.Future[None] = self.loop.create_future()  # done once a first list has come
         self.sources = [Source(self, address)]  # the one in use, then one that is to take over
 
     def move(self, address: Address) -> None:
         """Watch another address.  The list stays, and the old watch is heard, until a whole list comes."""
         if address != self.sources[-1].address:
             for source in self.sources[1:]:
-                source.task.cancel()
+                source.close()
             self.sources[1:] = [Source(self, address)]
 
     def takes_over(self, source: Source) -> None:
         while self.sources[0] is not source:
-            self.sources.pop(0).task.cancel()
+            self.sources.pop(0).close()
+
+    def tell(self, members: Members, addresses: dict[int, Address]) -> None:
+        self.heard(members, addresses)
+        if not self.told.done():
+            self.told.set_result(None)
 
     def close(self) -> None:
         for source in self.sources:
-            source.task.cancel()
+            source.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import time
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -13,7 +16,7 @@
 from ivymux.discovery import Discovery, Names, backend_id
 from orchidhill.interface import Listing, Members, State
 
-from .sockets import Agent, host_line, listening, run, until
+from .sockets import Agent, host_line, http_answer, listening, run, until
 
 Heard = list[tuple[Members, dict[int, Address]]]
 
@@ -22,6 +25,21 @@
     return json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode()
 
 
+class CutOff(Agent):
+    """An agent that takes connections while it is away, and never says anything on those."""
+
+    def __init__(self, away: Callable[[], bool]) -> None:
+        super().__init__()
+        self.away, self.tried = away, 0
+
+    async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.away():
+            self.tried += 1
+            await reader.read()
+        else:
+            await super().handle(reader, writer)
+
+
 def start(dial: str) -> tuple[Discovery, Heard]:
     heard: Heard = []
     names = Names(("a", "b"), ("m1", "m2"))
@@ -54,24 +72,163 @@
     run(test())
 
 
+# Guards against a drain that is lost with what could not be read: what comes behind it counts at once, and
+# the whole list is asked for again.  The old watch is heard until that is there, and ends then.
 @pytest.mark.parametrize(
     "bad",
-    [b"{", b"[]", b'{"seq":1}', change(42, 7), change(42, {"host": "s-00000001"}), b"\xff\xfe"],
+    [b"{", b"[]", b'{"seq":1}', change(42, 7), change(42, {"host": "s-00000001"}), b"\xff\xfe", b'"', b"}{"],
 )
-def test_bad_lines_are_skipped(bad: bytes, caplog: pytest.LogCaptureFixture) -> None:
+def test_bad_lines_are_skipped_and_the_list_is_read_again(
+    bad: bytes, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(discovery, "SILENT_AFTER", 1000.0)  # silence alone would have it read again
+
     async def test() -> None:
         agent = Agent([bad, change(43, host_line("s-00000007", "127.0.0.1:81"))])
         async with listening(agent.handle) as dial:
             watch, heard = start(dial)
             await until(lambda: heard and heard[-1][0].version == 43)
             assert [e.backend for m, _ in heard for e in m.entries] == [7]
-            assert len(agent.targets) == 2
+            assert [m.version for m, _ in heard] in ([41, 43], [41, 42, 43])
+            agent.lines.clear()
+            agent.whole = change(44, host_line("s-00000008", "127.0.0.1:82"), whole=True)
+            if b"host" not in bad:  # what makes no sense of one host only is no reason to read all again
+                await until(lambda: heard[-1][0].version == 44 and agent.open == 1)
+                assert [e.backend for e in heard[-1][0].entries] == [8]
             watch.close()
 
     run(test())
     assert "skipped" in caplog.text
 
 
+# Guards against changes that are never heard as they come over several lines, or late as what ends them is
+# the next line's first byte; and against a chunk that ends anywhere.
+@pytest.mark.parametrize("size", [1, 7, 100_000])
+@pytest.mark.parametrize("indent", [None, 0, 2])
+def test_changes_are_heard_however_they_are_written(size: int, indent: int | None) -> None:
+    async def test() -> None:
+        line = host_line('s-"{[', "127.0.0.1:81")
+        raw = json.loads(change(42, line, line | {"host": "s-00000008"}))
+        text = json.dumps(raw, indent=indent).encode() + b"\n\n" + json.dumps(raw | {"seq": 43}).encode()
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(http_answer(body=json.dumps(raw | {"seq": 41, "whole": True}, indent=1).encode()))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for at in range(0, len(text), size):
+                part = text[at : at + size]
+                writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+                await writer.drain()
+            await reader.read()
+
+        async with listening(handle) as dial:
+            watch, heard = start(dial)
+            await until(lambda: len(heard) == 3)
+            assert [m.version for m, _ in heard] == [41, 42, 43]
+            assert all(len(m.entries) == 2 for m, _ in heard)
+            watch.close()
+
+    run(test())
+
+
+# Guards against a drain that is told to a connection made while the agent was away: it takes that connection
+# and never answers on it, and the drain grace runs from its return.
+def test_a_silent_agents_return_is_heard_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENT_AFTER", 0.3)
+
+    async def test() -> None:
+        away = asyncio.Event()
+        agent = CutOff(away.is_set)
+        async with listening(agent.handle) as dial:
+            watch, heard = start(dial)
+            await until(lambda: len(agent.targets) == 2)
+            away.set()
+            await until(lambda: agent.tried == 8)
+            (source,) = watch.sources
+            assert len(source.tries) <= discovery.MOST_TRIES  # descriptors are bounded
+            began = time.monotonic()
+            away.clear()
+            agent.whole = change(42, whole=True)
+            await until(lambda: heard[-1][0].version == 42)
+            # Sooner than a try made before it came back would have been given up.
+            assert time.monotonic() - began < discovery.TRY_FOR
+            await until(lambda: agent.open == 1)  # the silent watch has ended
+            watch.close()
+
+    run(test())
+
+
+# Guards against a watch that is ended as soon as it falls silent: what it still brings counts until another
+# has brought the whole list.
+def test_a_silent_watch_is_heard_until_another_takes_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENT_AFTER", 0.1)
+
+    async def test() -> None:
+        agent = CutOff(lambda: bool(agent.targets))
+        async with listening(agent.handle) as dial:
+            watch, heard = start(dial)
+            await until(lambda: agent.tried)
+            agent.lines.append(change(42))
+            await until(lambda: heard[-1][0].version == 42)
+            watch.close()
+
+    run(test())
+
+
+# Guards against servers that come back into use by a list from before: an agent does not go back on one
+# connection.  One that counts anew is asked for its whole list.
+def test_a_list_older_than_what_is_known_is_not_taken(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENT_AFTER", 1000.0)
+
+    async def test() -> None:
+        agent = Agent([change(50), change(42, host_line("s-00000007", "127.0.0.1:81"), whole=True)])
+        async with listening(agent.handle) as dial:
+            watch, heard = start(dial)
+            await until(lambda: len(agent.targets) >= 4)
+            assert all(m.version != 42 for m, _ in heard)
+            agent.lines.clear()
+            agent.whole = change(7, whole=True)
+            await until(lambda: heard[-1][0].version == 7)
+            watch.close()
+
+    run(test())
+
+
+# Guards against a list that keeps coming, in small pieces: it is not waited for, and others are tried.
+def test_a_list_that_drips_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "LIST_FOR", 0.3)
+
+    async def test() -> None:
+        dripping = 0
+
+        async def drip(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal dripping
+            dripping += 1
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            with contextlib.suppress(OSError):
+                while not writer.is_closing() and not reader.at_eof():
+                    writer.write(b"1\r\n \r\n")
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+            dripping -= 1
+
+        agent = Agent()
+        spoilt = True
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await (drip if spoilt else agent.handle)(reader, writer)
+
+        async with listening(handle) as dial:
+            watch, heard = start(dial)
+            await until(lambda: dripping)
+            spoilt = False
+            await until(lambda: heard and not dripping)
+            watch.close()
+
+    run(test())
+
+
 # Guards against a change that is lost with an ended watch, and against an agent that starts again and
 # counts from a lower number: its changes must not be taken for known ones.
 def test_an_ended_watch_begins_again_with_the_whole_list() -> None:
@@ -153,7 +310,7 @@
 
 
 def test_a_line_without_end_ends_the_watch(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery, "MOST_LINE", 1000)
+    monkeypatch.setattr(discovery, "MOST_LIST", 1000)
 
     async def test() -> None:
         async def endless(reader: Any, writer: Any) -> None:
