Withdraw what waits for a connection when its server leaves or its client does

Seen by reading: an attempt that waits for its connection was written when that came up, up to the connect time-out later, whatever had been told meanwhile (`Pool.connect`, the branch that ends in `link.carry`), and `Host.left` gave nothing up. Probed on loopback with connections held back: all five tests of it, of a server told as draining, gone, left out of the list or moved, and of a client that left, saw the request arrive.

Now such attempts are withdrawn: they end as never sent, after the module has heard the list, so that even a request that must not be repeated goes to another server. The connection is paid for and kept.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -70,6 +70,7 @@
                 raise ConfigError(f"known: {type(error).__name__}: {error}") from None
             host.members(members, addresses)
         self.discovery = Discovery(config.discovery, names, host.members)
+        self.list_wait = LIST_WAIT
         self.server = Server(config, host)
         # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
         self.drain_time = min(3.0, max((c.deadline for c in settings.classes), default=3.0)) + 0.4
@@ -77,7 +78,7 @@
     async def start(self) -> None:
         if self.host.counter is not None:
             await asyncio.wait([self.host.counter.ready], timeout=COUNTER_WAIT)
-        await asyncio.wait([self.discovery.told], timeout=LIST_WAIT)
+        await asyncio.wait([self.discovery.told], timeout=self.list_wait)
         await self.server.start()
 
     def reload(self, env: Mapping[str, str]) -> None:
--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -127,12 +127,19 @@
         return request
 
     def left(self, request: Open) -> None:
-        """The client has gone away; attempts that are out run on."""
+        """The client has gone away; attempts that are out run on, those that only wait are given up."""
         if not request.settled:
             self.settle(request, None)
             self.post(i.Left(request.number))
+            self.give_up_waiting(request)
             self.drop(request)
 
+    def give_up_waiting(self, request: Open) -> None:
+        """What was not written yet must not be, as nobody waits for it any more: it never ran."""
+        for attempt in list(request.out.values()):
+            if attempt.link is None:
+                attempt.give_up(Outcome.CANCELLED)
+
     def overdue(self, request: Open) -> None:
         """Guards the rule that no request is lost: its client's time is nearly up, and nobody answered."""
         if request.settled:
@@ -158,6 +165,8 @@
                 self.upstream.remove(entry.backend)
             else:
                 self.upstream.place(entry.backend, addresses[entry.backend], entry.started)
+            if entry.state is State.DRAINING:
+                self.upstream.withdraw(entry.backend)
         self.post(members)
 
     # --- actions out -------------------------------------------------------------------------------
--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -240,6 +240,7 @@
         self.owner, self.name, self.address, self.started = owner, name, address, started
         self.idle: deque[Link] = deque()  # the newest last; it is used first
         self.links: set[Link] = set()
+        self.waiting: set[Attempt] = set()  # for a connection to come up
         self.connecting = 0
 
     def start(self, attempt: Attempt) -> None:
@@ -258,6 +259,7 @@
             return
         self.connecting += 1
         self.owner.open += 1
+        self.waiting.add(attempt)
         task = self.owner.loop.create_task(self.connect(attempt))
         self.owner.tasks.add(task)
         task.add_done_callback(self.owner.tasks.discard)
@@ -270,18 +272,30 @@
                 )
         except (OSError, TimeoutError):
             self.owner.open -= 1
-            attempt.fail(Outcome.CONNECT_FAILED)
+            if attempt in self.waiting:
+                attempt.fail(Outcome.CONNECT_FAILED)
             return
         finally:
             self.connecting -= 1
+            wanted = attempt in self.waiting and not attempt.over
+            self.waiting.discard(attempt)
         self.links.add(link)
         if link.transport is None or link.transport.is_closing():
             self.forget(link)
-            attempt.fail(Outcome.CONNECT_FAILED)
-        elif attempt.over:  # given up meanwhile; the connection is paid for
-            self.put(link)
-        else:
+            if wanted:
+                attempt.fail(Outcome.CONNECT_FAILED)
+        elif wanted:
             link.carry(attempt)
+        else:  # given up or withdrawn meanwhile; the connection is paid for
+            self.put(link)
+
+    def withdraw(self) -> None:
+        """Nothing new goes to this backend: what waits for a connection is not written when that comes up,
+        and never ran.  It ends after this call, once the module knows why.
+        """
+        waiting, self.waiting = self.waiting, set()
+        for attempt in waiting:
+            self.owner.loop.call_soon(attempt.fail, Outcome.MOOT)
 
     def put(self, link: Link) -> None:
         if self.owner.pools.get(self.name) is not self:
@@ -334,6 +348,11 @@
         if (pool := self.pools.pop(backend, None)) is not None:
             del self.places[pool.address]
             pool.close_idle()
+            pool.withdraw()
+
+    def withdraw(self, backend: int) -> None:
+        if (pool := self.pools.get(backend)) is not None:
+            pool.withdraw()
 
     def start(self, backend: int, payload: bytes, timeout: float, done: Callable[[Result], None]) -> Attempt:
         attempt = Attempt(payload, done)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -292,6 +292,7 @@
 ) -> AsyncIterator[tuple[FrontDoor, Script]]:
     known = [host_line(f"s-{n:08x}", dial) for n, dial in enumerate(dials, 1)]
     door = FrontDoor(config(known, counter, **changes))
+    door.list_wait = 0.0  # these have no discovery
     script = Script(react or (lambda event: []))
     if react is not None:
         door.host.gateway = script  # type: ignore[assignment]
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,144 @@
+"""Moments at which something ends while something is still owed, forced over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import Any
+
+import pytest
+
+from ivymux.__main__ import FrontDoor
+from orchidhill import interface as i
+from orchidhill.interface import Outcome
+
+from .sockets import (
+    FIRST,
+    Agent,
+    Backend,
+    Client,
+    config,
+    front_door,
+    host_line,
+    http_answer,
+    listening,
+    run,
+    send_on,
+    until,
+)
+
+
+class Gate:
+    """A loop on which connections come up only once they are let."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop, self.asked, self.open = loop, 0, asyncio.Event()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, *args: Any) -> Any:
+        self.asked += 1
+        await self.open.wait()
+        return await self.loop.create_connection(*args)
+
+
+def gated(door: Any) -> Gate:
+    door.host.upstream.loop = gate = Gate(door.host.upstream.loop)
+    return gate
+
+
+def to_another(event: Any) -> list[i.Action]:
+    """Sends each request to the first backend, then to the second where it never ran."""
+    if isinstance(event, i.Finished) and event.outcome.never_ran:
+        return [i.Send(event.request, 2, 0.0)]
+    return send_on(event)
+
+
+# Guards against a request written to a backend that was told of as leaving while its connection came up: it
+# never ran, so that even one that must not be repeated goes to another.
+@pytest.mark.parametrize("how", ["draining", "gone", "left out", "moved"])
+def test_what_waits_for_a_connection_is_not_sent_to_a_backend_that_leaves(how: str) -> None:
+    async def test() -> None:
+        leaving, other = Backend(), Backend(lambda message: http_answer(body=b"other"))
+        async with (
+            listening(leaving.handle) as first,
+            listening(other.handle) as second,
+            front_door(first, second, react=to_another, caps__connect_timeout_s="5.0") as (door, script),
+            Client(door.server) as client,
+        ):
+            gate = gated(door)
+            waiting = asyncio.create_task(client.ask(2))
+            await until(lambda: gate.asked == 1)
+            address = door.host.upstream.pools[FIRST].address
+            state = {"draining": i.State.DRAINING, "gone": i.State.GONE}.get(how, i.State.READY)
+            entry = i.Entry(FIRST, 0, 9.0 if how == "moved" else 0.0, state, 0, 0, 1.0)
+            if how == "left out":
+                beside = i.Entry(2, 0, 0.0, state, 0, 0, 1.0)
+                told = i.Members(i.Listing.FULL, 42, (beside,))
+                door.host.members(told, {2: door.host.upstream.pools[2].address})
+            else:
+                door.host.members(i.Members(i.Listing.DELTA, 42, (entry,)), {FIRST: address})
+            gate.open.set()
+            assert (await waiting).body == b"other"
+            # The module hears why first: else it could choose the same backend again.
+            kinds = [type(e).__name__ for e in script.events]
+            assert kinds.index("Finished") > kinds.index("Members")
+            assert script.outcomes() == [Outcome.MOOT, Outcome.OK]
+            await until(lambda: leaving.opened == 1)
+            assert not leaving.seen
+
+    run(test())
+
+
+# Guards against a request that is sent on for a client that left while it waited for a connection.
+def test_what_waits_for_a_connection_is_not_sent_once_its_client_has_left() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on, caps__connect_timeout_s="5.0") as (door, script),
+        ):
+            gate = gated(door)
+            async with Client(door.server) as client:
+                client.writer.write(client.request(2))
+                await until(lambda: gate.asked == 1)
+            await until(lambda: script.outcomes() == [Outcome.MOOT])
+            assert not door.host.table and not door.server.ids
+            gate.open.set()
+            await until(lambda: door.host.upstream.pools[FIRST].idle)  # it is paid for and kept
+            async with Client(door.server) as client:
+                assert (await client.ask(Request_Id="second")).status == 200
+            assert [m.headers["request-id"] for m in backend.seen] == ["second"]
+
+    run(test())
+
+
+# Guards against requests sent by the list of a process before: what discovery has counts from the first
+# moment.  An agent that is away must not keep the start from serving.
+@pytest.mark.parametrize("away", [False, True])
+def test_a_start_waits_for_the_list_but_not_for_ever(away: bool) -> None:
+    async def test() -> None:
+        agent, go, began = Agent(), asyncio.Event(), time.monotonic()
+
+        async def late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            await agent.handle(reader, writer)
+
+        old, new = host_line("s-00000001", "127.0.0.1:1"), host_line("s-00000002", "127.0.0.1:2")
+        agent.whole = json.dumps({"seq": 42, "whole": True, "hosts": [new]}).encode()
+        async with listening(late) as discovery:
+            door = FrontDoor(config([old], discovery=discovery))
+            door.list_wait = 0.05 if away else 15.0
+            start = asyncio.create_task(door.start())
+            if not away:
+                await until(lambda: door.discovery.sources[0].tries)
+                assert not start.done()
+                go.set()
+            await start
+            assert list(door.host.upstream.pools) == [1 if away else 2]
+            assert time.monotonic() - began < 10
+            await door.close()
+
+    run(test())
