Answer half requests and unread ones before a connection or the process ends

Reviewed: every path that closes a client's connection. Each was forced on loopback: the client saw a close with no answer, or the drain done with 180 KB of answers unsent. Ruled out by a test: a client that leaves while it is not read is heard, as its reset fails the pending write.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -28,6 +28,7 @@
 COUNTER_WAIT = 0.3  # seconds that the start waits for the counter's connections
 LIST_WAIT = 1.0  # seconds that it waits for discovery's list: `known` may be out of date, and the agent down
 LINGER = 0.6  # seconds after SIGTERM in which new connections go on coming
+FLUSH = 0.2  # seconds that the last answers have to leave and be read: SIGKILL is that near
 
 
 log = logging.getLogger("ivymux")
@@ -101,14 +102,22 @@
         began = time.monotonic()
         await asyncio.sleep(LINGER)
         self.server.stop_listening()
-        while self.host.waiting and time.monotonic() - began < self.drain_time:
+        # A request that is half here is served too: once its end is written it counts as taken.
+        while (self.host.waiting or self.server.arriving()) and time.monotonic() - began < self.drain_time:
             await asyncio.sleep(0.01)
         self.host.answer_all()
+        self.server.finish()
+        # The last answers leave and are read; who does not close behind one is waited for only so long.
+        kept_until, last = time.monotonic() + FLUSH, began + self.drain_time + FLUSH
+        while self.server.clients and (now := time.monotonic()) < last:
+            if now > kept_until and not self.server.unflushed():
+                break
+            await asyncio.sleep(0.01)
         await self.close()
 
     async def close(self) -> None:
         self.server.close()
-        await asyncio.sleep(0.05)  # the last answers leave
+        await asyncio.sleep(0)  # what is closed is let go
         self.discovery.close()
         if self.host.counter is not None:
             self.host.counter.close()
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import time
 from collections import OrderedDict, deque
 from collections.abc import Iterator
@@ -300,6 +301,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def unread(self) -> bool:
+        """Whether bytes wait to be read: a request that has come must not be ended unseen."""
+        if self.broken or self.transport is None or self.transport.is_closing():
+            return False
+        readable = select.poll()
+        readable.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(readable.poll(0))
+
 
 class Server:
     def __init__(self, config: Config, host: Host) -> None:
@@ -353,7 +362,10 @@
         for line, least in choices:
             first = next(iter(line), None)
             if first is not None and first is not newest and now - first.since >= least:
-                return first
+                if first.unread():
+                    first.stand(line)  # about to be read
+                else:
+                    return first
         return None
 
     def sweep(self) -> None:
@@ -367,7 +379,10 @@
         idle_most = IDLE_TIMEOUT if len(self.clients) < self.most_clients / 2 else SETTLED_AFTER
         for line, most in ((self.idle, idle_most), (self.ended, LINGER)):
             for client in self.overdue(line, most):
-                client.abort()  # a close would wait for a client that never reads its last answer
+                if client.unread():
+                    client.stand(self.idle)
+                else:
+                    client.abort()  # a close would wait for a client that never reads its last answer
         self.timer = self.loop.call_later(SWEEP, self.sweep)
 
     def overdue(self, line: OrderedDict[Client, None], most: float) -> Iterator[Client]:
@@ -381,8 +396,28 @@
         self.stopping = True
         if self.server is not None:
             self.server.close()
-        for client in [*self.idle, *(c for c in self.fresh if not c.arriving)]:
-            if client.transport is not None:
+        for client in [*self.idle, *self.fresh]:
+            if client.transport is not None and not client.arriving and not client.unread():
+                client.transport.close()
+
+    def arriving(self) -> bool:
+        """Whether part of a request has come that is not whole, or bytes that are not read yet."""
+        lines = (self.coming, self.fresh, self.idle)
+        return any(client.arriving or client.unread() for line in lines for client in line)
+
+    def unflushed(self) -> bool:
+        """Whether part of an answer still waits in this process."""
+        return any(c.transport is not None and c.transport.get_write_buffer_size() for c in self.clients)
+
+    def finish(self) -> None:
+        """The process is about to end: half a request gets an answer too, and whoever has its last answer is
+        read on until it closes, as a reset on unread bytes could overtake that.
+        """
+        late = BadRequest("the front door ends", 503)
+        for client in list(self.clients):
+            if client.arriving or client.unread():
+                client.reject(late)
+            elif not client.broken and not client.pending and client.transport is not None:
                 client.transport.close()
 
     def close(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import json
+import socket
 import time
 from typing import Any
 
 import pytest
 
 from ivymux.__main__ import FrontDoor
+from ivymux.server import Client as Connection
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 
@@ -142,3 +144,143 @@
             await door.close()
 
     run(test())
+
+
+def connected(door: FrontDoor) -> socket.socket:
+    """A client of the front door that acts between two steps of the loop."""
+    assert door.server.server is not None
+    client = socket.create_connection(door.server.server.sockets[0].getsockname())
+    client.setblocking(False)
+    return client
+
+
+REQUEST = (
+    b"GET /class-0?customer=0000000000000005 HTTP/1.1\r\nHost: x\r\nRequest-Class: class-0\r\n"
+    b"X-Tier: plan-0\r\nRequest-Timeout: 4000m\r\nX-Call-Terms: units=1,spread=3,first=0\r\nRequest-Id: "
+)
+
+
+async def read_all(client: socket.socket) -> bytes:
+    loop, data = asyncio.get_running_loop(), b""
+    while part := await loop.sock_recv(client, 1 << 16):
+        data += part
+    return data
+
+
+# Guards against a connection that is closed as idle on a request that has come and was not read yet.
+@pytest.mark.parametrize("how", ["drain", "idle", "room"])
+def test_a_request_that_is_not_read_yet_is_not_closed_on(how: str) -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, _),
+        ):
+            server = door.server
+            with connected(door) as client:
+                loop = asyncio.get_running_loop()
+                await loop.sock_sendall(client, REQUEST + b"one\r\n\r\n")
+                assert b" 200 OK" in await loop.sock_recv(client, 1 << 16)
+                await until(lambda: server.idle)
+                (idle,) = server.idle
+                assert client.send(REQUEST + b"two\r\n\r\n")  # no step of the loop lies between these
+                if how == "drain":
+                    server.stop_listening()
+                elif how == "idle":
+                    idle.since = float("-inf")
+                    server.sweep()
+                else:
+                    assert server.victim(Connection(server)) is not idle
+                answer = b""
+                while b"done" not in answer:
+                    part = await loop.sock_recv(client, 1 << 16)
+                    assert part, "closed with no answer"
+                    answer += part
+                assert b" 200 OK" in answer
+
+    run(test())
+
+
+# Guards against the end of the process on half a request: once its end is written it counts as taken.
+@pytest.mark.parametrize("whole", [True, False])
+def test_half_a_request_is_answered_before_the_end(whole: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("ivymux.__main__.LINGER", 0.0)
+
+    async def test() -> None:
+        backend = Backend()
+        async with listening(backend.handle) as dial, front_door(dial, react=send_on) as (door, _):
+            with connected(door) as client:
+                loop = asyncio.get_running_loop()
+                await loop.sock_sendall(client, REQUEST + b"half")
+                await until(lambda: any(c.arriving for c in door.server.fresh))
+                door.drain_time = 10.0 if whole else 0.1
+                drained = asyncio.create_task(door.drain())
+                await until(lambda: door.server.stopping)
+                await asyncio.sleep(0)
+                if whole:
+                    assert not drained.done()
+                    await loop.sock_sendall(client, b"\r\n\r\n")
+                answer = await read_all(client)
+                client.close()
+                await drained
+                assert answer.startswith(b"HTTP/1.1 200" if whole else b"HTTP/1.1 503")
+                assert b"Connection: close" in answer
+
+    run(test())
+
+
+# Guards against an end that cuts off the last answers of clients that read slowly.
+def test_the_end_waits_for_answers_that_have_not_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("ivymux.__main__.LINGER", 0.0)
+    monkeypatch.setattr("ivymux.__main__.FLUSH", 0.1)
+
+    async def test() -> None:
+        body = b"x" * 60_000
+        backend = Backend(lambda message: http_answer(body=body))
+        async with listening(backend.handle) as dial, front_door(dial, react=send_on) as (door, _):
+            door.drain_time = 10.0
+            with connected(door) as client:
+                await until(lambda: door.server.clients)
+                (served,) = door.server.clients
+                assert served.transport is not None
+                inner = served.transport.get_extra_info("socket")
+                inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                loop = asyncio.get_running_loop()
+                asked = b"".join(REQUEST + b"%d\r\n\r\n" % number for number in range(4))
+                await loop.sock_sendall(client, asked)
+                await until(lambda: door.server.unflushed() and not door.host.waiting)
+                drained = asyncio.create_task(door.drain())
+                done, _ = await asyncio.wait([drained], timeout=0.3)  # it may not end: nothing is read
+                assert not done
+                assert (await read_all(client)).count(body) == 4
+                client.close()
+                await drained
+
+    run(test())
+
+
+# Guards against a client that leaves unheard while it is not read, as it does not read its answers: what it
+# still waits for must not be sent on.
+def test_a_client_that_leaves_while_it_is_not_read_is_heard() -> None:
+    async def test() -> None:
+        backend = Backend(lambda message: http_answer(body=b"x" * 60_000))
+
+        def react(event: Any) -> list[i.Action]:
+            return [] if getattr(event, "request", 0) == 4 else send_on(event)
+
+        async with listening(backend.handle) as dial, front_door(dial, react=react) as (door, script):
+            with connected(door) as client:
+                await until(lambda: door.server.clients)
+                (served,) = door.server.clients
+                assert served.transport is not None
+                inner = served.transport.get_extra_info("socket")
+                inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                asked = b"".join(REQUEST + b"%d\r\n\r\n" % number for number in range(4))
+                await asyncio.get_running_loop().sock_sendall(client, asked)
+                await until(lambda: door.server.unflushed() and door.host.waiting == 1)
+            await until(lambda: script.of(i.Left))
+            assert not door.host.table
+
+    run(test())
