Lease nothing for clients that left, and leave keyed repeats time to connect

Reviewed in the module: every request that waits when its client leaves. None was sent on, but one that waited for its call's turn had a lease asked for it later, and one beside a lease in flight counted in the next batch (`turns` and `ask` count waiters that are closed). And `allowed` let a keyed repeat go up to 30 ms before its key is forgotten, though it may wait `caps.connect_timeout_s` for a connection and arrive after.

Now a client that leaves takes its request out of the waiting lines at once, and the last moment of a repeat is a connect time-out earlier. Both tests fail without this, the wait for room passed before too.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -184,7 +184,7 @@
             case i.Members():
                 self.on_members(event)
             case i.Left():
-                self.close(self.jobs.get(event.request))
+                self.on_left(self.jobs.get(event.request))
         self.set_timer()
         return self.actions
 
@@ -616,7 +616,9 @@
         anchor = min(anchors, key=lambda a: a[1], default=None)
         if anchor is None or job.cls.effect is Effect.SAFE:
             return self.live
-        if job.cls.effect is Effect.UNSAFE or self.now > anchor[1] + job.cls.memory - MARGIN:
+        # A repeat may have to wait for a connection, and must not arrive when its key is forgotten.
+        latest = anchor[1] + job.cls.memory - MARGIN - self.settings.limits.connect_timeout
+        if job.cls.effect is Effect.UNSAFE or self.now > latest:
             return []
         return [b for b in self.live if self.group(job, b) == self.group(job, anchor[0])]
 
@@ -851,6 +853,13 @@
         if job:
             job.closed = True
 
+    def on_left(self, job: Job | None) -> None:
+        """Its client has left: nothing is leased for it any more, nor sent."""
+        if job:
+            for lease in (lease for lease in job.leases if job in lease.waiters):
+                lease.waiters.remove(job)
+        self.close(job)
+
     def pump(self) -> None:
         """Send queued jobs, most worth per work first, while backends have room."""
         if not self.queue or not self.has_room():
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -465,6 +465,41 @@
     assert i.Fail(1) in found and not sends(found)
 
 
+# Guards against a repeat that waits for its connection until the backends have forgotten its key.
+def test_a_keyed_repeat_leaves_time_for_a_connection() -> None:
+    for after, again in ((1.6, True), (1.8, False)):
+        made, counter = gateway(), Counter()
+        (send,) = sends(play(made, counter, START, request(1, cls=1)))
+        found = play(made, counter, START + after, done(1, send, i.Outcome.ERROR))
+        assert bool(sends(found)) == again  # 2 s of memory, 0.25 s to connect
+
+
+# Guards the fleet's quotas and backends against requests of clients that left while they waited for their
+# call's turn, for a lease or for room: none is leased for or sent on, whatever comes 0.3 s later.
+@pytest.mark.parametrize("waits_for", ["turn", "lease", "room"])
+def test_nothing_is_leased_or_sent_for_a_client_that_left(waits_for: str) -> None:
+    made, counter = gateway(), Counter()
+    (first,) = sends(play(made, counter, START, request(1, customer=9)))
+    if waits_for == "turn":
+        made.pace.left = -1e6
+    if waits_for == "room":
+        made.room = 1e-9
+        found = play(made, counter, START + 0.1, request(2))
+    else:
+        found = made.handle(START + 0.1, request(2))
+    calls = [a for a in found if isinstance(a, i.Count)] if waits_for == "lease" else []
+    assert not sends(found) and 2 in made.jobs and bool(calls) == (waits_for == "lease")
+    made.handle(START + 0.15, i.Left(2))
+    assert 2 not in made.jobs and not made.leases[5, False].waiters
+    made.pace.left, made.room = 100.0, 10.0
+    found = [action for call in calls for action in made.handle(START + 0.2, counter.answer(call))]
+    found += play(made, counter, START + 0.2, done(1, first, i.Outcome.OK))
+    asked = counter.calls
+    for step in range(8):
+        found += play(made, counter, START + 0.2 + step * TICK, i.Fired(1))
+    assert not sends(found) and counter.calls == asked
+
+
 def test_no_second_copy_where_none_is_allowed() -> None:
     made = gateway(caps__second_copies="false", classes__0__goal_time_s="4.0")
     hold(made, 1)
