Let an unknown customer's first request in by how often its plan is granted

At fault: `Gateway.lease` gave an unknown customer one unasked request by `share`, for the plan `bas` on 150 gateways one in twenty, whatever the counter had said of others like it. Most who come seldom are within their quotas, and of 200 gateways each meets nearly all of them for the first time. Each gateway now keeps the share of leases granted by plan, and that chance follows it. Further requests go by the old share.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -159,6 +159,7 @@
         self.aim = min((c.aim for c in settings.classes), default=1.0)
         self.holding: dict[tuple[int, bool], Lease] = {}  # leases with credit or slots to give back
         self.latency = FIRST_LATENCY
+        self.odds = {plan.name: 0.5 for plan in settings.plans}  # share of leases granted, by plan
         self.usual = [FIRST_LATENCY for _ in settings.classes]  # latencies by class: their work differs
         self.peers = max(1, settings.peers)
         self.pace = Pace(settings, self.random.random())
@@ -213,8 +214,9 @@
             size = math.log(max(1.0, base / width))  # a new customer's first lease is its share
             lease = Lease(req.customer, plan, width, slots, length, phase, base, span, size)
             # After a restart: no full share.  A client's repeat was refused elsewhere just now.
-            # Where many gateways share a burst that is less than a unit each, some of them let one in.
-            first = 1.0 if self.random.random() < self.share(lease) * base else 0.0
+            # Where many gateways share a burst that is less than a unit each, some of them let one in: the
+            # more, the more often its plan's leases are granted, as most who come seldom are within theirs.
+            first = 1.0 if self.random.random() < self.share(lease, self.odds[plan.name]) * base else 0.0
             lease.bucket, lease.bucket_at = 0.0 if req.is_retry else first, self.now
         self.leases.pop((req.customer, slots), None)
         self.leases[req.customer, slots] = lease
@@ -476,6 +478,7 @@
             grant = math.floor((grant + lease.credits) / first + EPS) * first - lease.credits
         self.give_back(lease, lease.asked - grant)
         lease.odds += NEWEST * ((excess <= EPS) - lease.odds)
+        self.odds[lease.plan.name] += SMOOTH * ((excess <= EPS) - self.odds[lease.plan.name])
         lease.denials = 0 if excess <= EPS else lease.denials
         lease.credits += grant
         self.serve(lease, denied=excess > EPS)
@@ -537,13 +540,14 @@
         lately = self.now - lease.checked < lease.plan.burst / max(EPS, lease.plan.rate)
         return not lease.slots and lease.met and lately and self.store(lease) >= lease.plan.burst / 2
 
-    def share(self, lease: Lease) -> float:
+    def share(self, lease: Lease, odds: float = 0.0) -> float:
         """The part of a quota to use unasked: 1/width to all, by the critical ratio of `over_cost` against
-        the worth lost and by the denials of a known customer; 1/width under a ceiling, as shares add up."""
+        the worth lost and by the denials of a known customer, or `odds` that an unknown one is granted;
+        1/width under a ceiling, as shares add up."""
         plan = lease.plan
         ratio = 1.0 if plan.ceiling_rate else plan.over_cost / (1 + plan.over_cost)
-        if not plan.ceiling_rate and (self.known_calm(lease) or lease.slots):
-            ratio *= 1 - lease.odds
+        if not plan.ceiling_rate:
+            ratio *= 1 - (lease.odds if self.known_calm(lease) or lease.slots else odds)
         return 1 / (1 + (lease.width - 1) * ratio)
 
     def refill(self, lease: Lease) -> float:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -28,6 +28,16 @@
     return bool(sent)
 
 
+class Spent(Counter):
+    """A counter on whose names others have put that much before."""
+
+    by_others = 0.0
+
+    def answer(self, call: i.Count) -> i.Counted:
+        self.totals.setdefault(call.name, self.by_others)
+        return super().answer(call)
+
+
 def only_lease(made: Gateway) -> Lease:
     (lease,) = made.leases.values()
     return lease
@@ -500,6 +510,20 @@
     assert not sends(found) and counter.calls == asked
 
 
+# Guards those within their quotas against being refused unheard where the counter bears few calls: of many
+# gateways each meets most customers for the first time.  Where leases are denied, few more are let in.
+def test_an_unknown_customers_first_request_goes_by_how_often_leases_are_granted() -> None:
+    def unasked(spent: float) -> int:
+        made, counter = gateway(peers_total="100", caps__probes="false"), Spent()
+        counter.by_others = spent
+        for customer in range(1000, 1040):
+            serve_all(made, counter, START + customer - 1000, customer, customer=customer, width=100)
+        made.pace.failing = 1.0  # from here on nobody can be asked
+        return sum(serve_all(made, counter, START, rid, customer=rid, width=100) for rid in range(2000, 2300))
+
+    assert unasked(0.0) > 2 * unasked(1e3) > 0
+
+
 def test_no_second_copy_where_none_is_allowed() -> None:
     made = gateway(caps__second_copies="false", classes__0__goal_time_s="4.0")
     hold(made, 1)
