--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,120 @@
+"""Quotas over a whole fleet, in fake time: many gateways, each customer spread over some of them."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import pytest
+
+from orchidhill import interface as i
+from orchidhill.gateway import TICK
+
+from .helpers import START, Counter, done, gateway, play, request, sends
+
+GATEWAYS, WIDTH, CUSTOMERS, SECONDS = 12, 6, 60, 20
+RATE, BURST = 4.0, 8.0  # of the helpers' first plan
+LATE = 0.2  # seconds after which the policy to compare with sees what was let in
+
+
+class Crowded(Counter):
+    """A counter that turns away what is more than it bears in a second."""
+
+    def __init__(self, bears: int) -> None:
+        super().__init__()
+        self.bears, self.taken, self.second = bears, 0, 0
+
+    def look(self, now: float) -> None:
+        if int(now) != self.second:
+            self.second, self.taken = int(now), 0
+
+    def answer(self, call: i.Count) -> i.Counted:
+        self.taken += 1
+        self.outcome = i.Outcome.OK if self.taken <= self.bears else i.Outcome.FULL
+        return super().answer(call)
+
+
+class Store:
+    """What a customer truly has left, and what was sent on beyond it."""
+
+    def __init__(self) -> None:
+        self.level, self.at, self.beyond = BURST, START, 0
+
+    def fill(self, now: float) -> float:
+        self.level, self.at = min(BURST, self.level + RATE * (now - self.at)), now
+        return self.level
+
+    def take(self, now: float) -> None:
+        if self.fill(now) >= 1:
+            self.level -= 1
+        else:
+            self.beyond += 1
+
+
+def arrivals(seed: int) -> list[tuple[float, int, int]]:
+    """A quiet day: most use half of their quotas at most, some nearly all, some ask for several times it."""
+    rng = random.Random(seed)
+    found = []
+    for customer in range(CUSTOMERS):
+        use = rng.choices([rng.uniform(0.15, 0.5), 0.95, rng.uniform(2, 5)], [0.75, 0.16, 0.09])[0]
+        now = START
+        while (now := now + rng.expovariate(use * RATE)) < START + SECONDS:
+            found.append((now, customer, (customer + rng.randrange(WIDTH)) % GATEWAYS))
+    return sorted(found)
+
+
+def by_late_sight(day: list[tuple[float, int, int]]) -> tuple[int, int]:
+    """Offered inside the quotas, and let in beyond them by a policy that sees the true stores late."""
+    inside, true, seen = ([Store() for _ in range(CUSTOMERS)] for _ in range(3))
+    coming: deque[tuple[float, int]] = deque()
+    for now, customer, _ in day:
+        while coming and coming[0][0] <= now:
+            at, whose = coming.popleft()
+            seen[whose].take(at)
+        inside[customer].take(now)
+        if seen[customer].fill(now) >= 1:
+            true[customer].take(now)
+            coming.append((now + LATE, customer))
+    return len(day) - sum(store.beyond for store in inside), sum(store.beyond for store in true)
+
+
+def by_gateways(day: list[tuple[float, int, int]], bears: int) -> tuple[int, int]:
+    """Sent on, and sent on beyond the quotas, by the gateways with a counter that bears that many calls."""
+    counter, true = Crowded(bears), [Store() for _ in range(CUSTOMERS)]
+    fleet = [
+        gateway((), n, me=str(n), peers_total=str(GATEWAYS), caps__probes="false") for n in range(GATEWAYS)
+    ]
+    sent = 0
+
+    def act(at: int, now: float, event: i.Event) -> None:
+        nonlocal sent
+        for send in sends(play(fleet[at], counter, now, event)):
+            true[day[send.request][1]].take(now)
+            sent += 1
+            act(at, now, done(send.request, send, i.Outcome.OK, closed=True))
+
+    rid = 0
+    for step in range(int(SECONDS / TICK)):
+        now = START + (step + 1) * TICK
+        counter.look(now)
+        while rid < len(day) and day[rid][0] < now:
+            _, customer, at = day[rid]
+            act(at, day[rid][0], request(rid, customer=customer, width=WIDTH))
+            rid += 1
+        for at, made in enumerate(fleet):
+            if made.jobs or made.holding:
+                act(at, now, i.Fired(1))
+    return sent, sum(store.beyond for store in true)
+
+
+# Guards the quotas as the fleet's: what passes beyond them costs at most a tenth of what is asked inside them
+# more than under a policy that sees the true state late, also while the counter bears few of the calls; and
+# next to nothing while it bears all.
+@pytest.mark.parametrize(("bears", "most"), [(1000, 0.03), (30, 1.0)])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_quotas_hold_for_the_fleet_on_a_quiet_day(seed: int, bears: int, most: float) -> None:
+    day = arrivals(seed)
+    offered, late = by_late_sight(day)
+    sent, beyond = by_gateways(day, bears)
+    assert beyond <= min(late + 0.1 * offered, most * offered)
+    assert sent - beyond >= 0.9 * offered  # not had by refusing what is inside them
