Let a connection rest 10 ms before it is used again, for second answers come late

`Pool.start` used the newest idle connection whatever its age, and `Link.data_received` hands the next request out within that time when one is queued (`finish` brings the next attempt). Forced on loopback, a second copy 5 ms late was served to the next client as its own answer. `usable` only sees what has come before the next request is written.

Now an idle connection is used after 10 ms; an attempt for which there is no other one waits that long rather than open a new one, and is withdrawn like those that wait to connect. Both tests fail with a rest of 0. It costs at most 10 ms where a server's connections are all that fresh, against aims of hundreds.

--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -23,6 +23,7 @@
 BACKEND_PART = 0.5  # of all connections, that one backend may have
 IDLE_PART = 0.5  # of the backend's idle time, after which an idle connection is retired here
 SWEEP = 1.0  # seconds between looks for such connections
+REST = 0.010  # seconds before a connection is used again: a second answer may come some milliseconds late
 NUMBER = re.compile(r"\d{1,15}(\.\d{1,15})?", re.ASCII)
 
 log = logging.getLogger(__name__)
@@ -245,11 +246,16 @@
 
     def start(self, attempt: Attempt) -> None:
         while self.idle:
-            link = self.idle.pop()
-            if link.usable():
+            link = self.rested()
+            if not link.usable():
+                link.abort()
+            elif (left := link.idle_since + REST - time.monotonic()) <= 0:
                 link.carry(attempt)
                 return
-            link.abort()
+            else:
+                self.waiting.add(attempt)
+                self.owner.loop.call_later(left, self.use, link, attempt)
+                return
         if (
             self.connecting + len(self.links) >= self.owner.most_open * BACKEND_PART
             or not self.owner.make_room()
@@ -264,6 +270,28 @@
         self.owner.tasks.add(task)
         task.add_done_callback(self.owner.tasks.discard)
 
+    def rested(self) -> Link:
+        """The newest idle connection that has rested, else the one that has rested longest."""
+        before = time.monotonic() - REST
+        at = next((n for n in reversed(range(len(self.idle))) if self.idle[n].idle_since <= before), 0)
+        link = self.idle[at]
+        del self.idle[at]
+        return link
+
+    def use(self, link: Link, attempt: Attempt) -> None:
+        """Carry an attempt that has waited for a connection to rest, unless it was given up or withdrawn."""
+        wanted = attempt in self.waiting and not attempt.over
+        self.waiting.discard(attempt)
+        usable = link.usable()
+        if usable and wanted:
+            link.carry(attempt)
+        elif usable:
+            self.put(link)
+        else:
+            link.abort()
+            if wanted:
+                self.start(attempt)
+
     async def connect(self, attempt: Attempt) -> None:
         try:
             async with asyncio.timeout(self.owner.connect_timeout):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from ivymux import upstream
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 
@@ -103,6 +104,62 @@
     run(test())
 
 
+# Guards against the same where the second answer comes some milliseconds late, when the next request would
+# be out on its connection: until then it is not used again.
+def test_a_late_second_answer_is_not_the_next_requests(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "REST", 1.0)
+
+    async def test() -> None:
+        seen: list[str] = []
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                message = await read_message(reader)
+                seen.append(message.headers["request-id"])
+                writer.write(echo(message))
+                if len(seen) == 1:
+                    await until(lambda: script.outcomes())  # the next request goes out with this news
+                    await asyncio.sleep(0.005)
+                    writer.write(echo(message))
+
+        async with (
+            listening(handle) as dial,
+            front_door(dial, react=in_turn()) as (door, script),
+            Client(door.server) as one,
+            Client(door.server) as two,
+        ):
+            one.writer.write(one.request(Request_Id="one"))
+            two.writer.write(two.request(Request_Id="two"))
+            answers = [await read_message(c.reader) for c in (one, two)]
+            assert [(a.status, a.body) for a in answers] == [(200, b"one"), (200, b"two")]
+            assert script.outcomes() == [Outcome.OK, Outcome.OK] and seen == ["one", "two"]
+
+    run(test())
+
+
+# Guards a connection that has rested against being passed over, and what waits for one against being sent
+# on after its client has left.
+def test_what_waits_for_a_connection_to_rest_is_not_sent_once_its_client_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upstream, "REST", 0.3)
+
+    async def test() -> None:
+        backend = Backend(echo)
+        async with listening(backend.handle) as dial, front_door(dial, react=send_on) as (door, script):
+            async with Client(door.server) as client:
+                assert (await client.ask(Request_Id="one")).body == b"one"
+                client.writer.write(client.request(2, Request_Id="two"))
+                await until(lambda: door.host.upstream.pools[FIRST].waiting)
+            await until(lambda: script.of(i.Left))
+            assert script.outcomes() == [Outcome.OK, Outcome.MOOT]
+            async with Client(door.server) as client:
+                assert (await client.ask(Request_Id="three")).body == b"three"
+            assert [m.headers["request-id"] for m in backend.seen] == ["one", "three"]
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     "spoilt",
     [
