--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -167,6 +167,18 @@
     return data
 
 
+async def ask_four(door: FrontDoor, client: socket.socket) -> None:
+    """Four requests at once, over a connection that holds few bytes of their answers."""
+    await until(lambda: door.server.clients)
+    (served,) = door.server.clients
+    assert served.transport is not None
+    inner = served.transport.get_extra_info("socket")
+    inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    asked = b"".join(REQUEST + b"%d\r\n\r\n" % number for number in range(4))
+    await asyncio.get_running_loop().sock_sendall(client, asked)
+
+
 # Guards against a connection that is closed as idle on a request that has come and was not read yet.
 @pytest.mark.parametrize("how", ["drain", "idle", "room"])
 def test_a_request_that_is_not_read_yet_is_not_closed_on(how: str) -> None:
@@ -240,15 +252,7 @@
         async with listening(backend.handle) as dial, front_door(dial, react=send_on) as (door, _):
             door.drain_time = 10.0
             with connected(door) as client:
-                await until(lambda: door.server.clients)
-                (served,) = door.server.clients
-                assert served.transport is not None
-                inner = served.transport.get_extra_info("socket")
-                inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                loop = asyncio.get_running_loop()
-                asked = b"".join(REQUEST + b"%d\r\n\r\n" % number for number in range(4))
-                await loop.sock_sendall(client, asked)
+                await ask_four(door, client)
                 await until(lambda: door.server.unflushed() and not door.host.waiting)
                 drained = asyncio.create_task(door.drain())
                 done, _ = await asyncio.wait([drained], timeout=0.3)  # it may not end: nothing is read
@@ -271,14 +275,7 @@
 
         async with listening(backend.handle) as dial, front_door(dial, react=react) as (door, script):
             with connected(door) as client:
-                await until(lambda: door.server.clients)
-                (served,) = door.server.clients
-                assert served.transport is not None
-                inner = served.transport.get_extra_info("socket")
-                inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                asked = b"".join(REQUEST + b"%d\r\n\r\n" % number for number in range(4))
-                await asyncio.get_running_loop().sock_sendall(client, asked)
+                await ask_four(door, client)
                 await until(lambda: door.server.unflushed() and door.host.waiting == 1)
             await until(lambda: script.of(i.Left))
             assert not door.host.table
