Withdraw what waits for a connection once its request has its final answer

Forced on loopback: a second copy that waits for its connection, to come up or to rest, is written when the first copy has brought the answer meanwhile, as `Host.finished` and `Host.end` settled the request and left what waits alone. Before the rest of 10 ms only new connections could do it; both ways are tested. Ruled out: the module, which sends nothing for a closed job.

Now such an attempt ends as never sent, as for clients that leave. All three tests fail without this.

--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -135,7 +135,7 @@
             self.drop(request)
 
     def give_up_waiting(self, request: Open) -> None:
-        """What was not written yet must not be, as nobody waits for it any more: it never ran."""
+        """What was not written yet must not be, as nobody waits for it or it has its answer: it never ran."""
         for attempt in list(request.out.values()):
             if attempt.link is None:
                 attempt.give_up(Outcome.CANCELLED)
@@ -243,12 +243,15 @@
                 request.number, number, backend, result.outcome, closed, result.spent, 0, 0, result.report
             )
         )
+        if closed:
+            self.give_up_waiting(request)
         self.drop(request)
 
     def end(self, number: int, answer: Answer) -> None:
         request = self.table.get(number)
         if request is not None and not request.settled:
             self.settle(request, answer)
+            self.give_up_waiting(request)
             self.drop(request)
 
     def settle(self, request: Open, answer: Answer | None) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from ivymux import upstream
 from ivymux.__main__ import FrontDoor
 from ivymux.server import Client as Connection
 from orchidhill import interface as i
@@ -36,14 +37,16 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop, self.asked, self.open = loop, 0, asyncio.Event()
+        self.open_for = 0  # a port to which they come up at once
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.loop, name)
 
-    async def create_connection(self, *args: Any) -> Any:
+    async def create_connection(self, protocol: Any, host: str, port: int) -> Any:
         self.asked += 1
-        await self.open.wait()
-        return await self.loop.create_connection(*args)
+        if port != self.open_for:
+            await self.open.wait()
+        return await self.loop.create_connection(protocol, host, port)
 
 
 def gated(door: Any) -> Gate:
@@ -117,6 +120,48 @@
     run(test())
 
 
+# Guards against a second copy that is written once its connection is up or has rested, when the first has
+# brought the answer, or the module has given the request up.
+@pytest.mark.parametrize("how", ["connecting", "resting", "given up"])
+def test_what_waits_for_a_connection_is_not_sent_after_the_final_answer(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def react(event: Any) -> list[i.Action]:
+        if isinstance(event, i.Request):
+            copies: list[i.Action] = [i.Send(event.request, 2, 0.0)]
+            if event.request > 1:
+                copies.append(
+                    i.Refuse(event.request, 0.0) if how == "given up" else i.Send(event.request, FIRST, 0.0)
+                )
+            return copies
+        return []
+
+    async def test() -> None:
+        backend, second = Backend(), Backend()
+        async with (
+            listening(backend.handle) as first,
+            listening(second.handle) as other,
+            front_door(first, other, react=react, caps__connect_timeout_s="5.0") as (door, script),
+            Client(door.server) as client,
+        ):
+            if how == "resting":
+                assert (await client.ask(Request_Id="warm")).status == 200
+                monkeypatch.setattr(upstream, "REST", 0.3)
+            else:
+                door.host.number = 1
+                gate = gated(door)
+                gate.open_for = door.host.upstream.pools[FIRST].address.port
+            waiting = asyncio.create_task(client.ask(Request_Id="once"))
+            assert (await waiting).status == (503 if how == "given up" else 200)
+            await until(lambda: Outcome.MOOT in script.outcomes() and not door.host.table)
+            if how != "resting":
+                gate.open.set()
+            await until(lambda: door.host.upstream.pools[2].idle)
+            assert "once" not in [m.headers["request-id"] for m in second.seen]
+
+    run(test())
+
+
 # Guards against requests sent by the list of a process before: what discovery has counts from the first
 # moment.  An agent that is away must not keep the start from serving.
 @pytest.mark.parametrize("away", [False, True])
