--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from ivymux import upstream
 from ivymux.__main__ import FrontDoor
 from ivymux.server import Client as Connection
 from orchidhill import interface as i
@@ -36,14 +37,16 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop, self.asked, self.open = loop, 0, asyncio.Event()
+        self.open_for = 0  # a port to which they come up at once
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.loop, name)
 
-    async def create_connection(self, *args: Any) -> Any:
+    async def create_connection(self, protocol: Any, host: str, port: int) -> Any:
         self.asked += 1
-        await self.open.wait()
-        return await self.loop.create_connection(*args)
+        if port != self.open_for:
+            await self.open.wait()
+        return await self.loop.create_connection(protocol, host, port)
 
 
 def gated(door: Any) -> Gate:
@@ -117,6 +120,48 @@
     run(test())
 
 
+# Guards against a second copy that is written once its connection is up or has rested, when the first has
+# brought the answer, or the module has given the request up.
+@pytest.mark.parametrize("how", ["connecting", "resting", "given up"])
+def test_what_waits_for_a_connection_is_not_sent_after_the_final_answer(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def react(event: Any) -> list[i.Action]:
+        if isinstance(event, i.Request):
+            copies: list[i.Action] = [i.Send(event.request, 2, 0.0)]
+            if event.request > 1:
+                copies.append(
+                    i.Refuse(event.request, 0.0) if how == "given up" else i.Send(event.request, FIRST, 0.0)
+                )
+            return copies
+        return []
+
+    async def test() -> None:
+        backend, second = Backend(), Backend()
+        async with (
+            listening(backend.handle) as first,
+            listening(second.handle) as other,
+            front_door(first, other, react=react, caps__connect_timeout_s="5.0") as (door, script),
+            Client(door.server) as client,
+        ):
+            if how == "resting":
+                assert (await client.ask(Request_Id="warm")).status == 200
+                monkeypatch.setattr(upstream, "REST", 0.3)
+            else:
+                door.host.number = 1
+                gate = gated(door)
+                gate.open_for = door.host.upstream.pools[FIRST].address.port
+            waiting = asyncio.create_task(client.ask(Request_Id="once"))
+            assert (await waiting).status == (503 if how == "given up" else 200)
+            await until(lambda: Outcome.MOOT in script.outcomes() and not door.host.table)
+            if how != "resting":
+                gate.open.set()
+            await until(lambda: door.host.upstream.pools[2].idle)
+            assert "once" not in [m.headers["request-id"] for m in second.seen]
+
+    run(test())
+
+
 # Guards against requests sent by the list of a process before: what discovery has counts from the first
 # moment.  An agent that is away must not keep the start from serving.
 @pytest.mark.parametrize("away", [False, True])
@@ -167,6 +212,18 @@
     return data
 
 
+async def ask_four(door: FrontDoor, client: socket.socket) -> None:
+    """Four requests at once, over a connection that holds few bytes of their answers."""
+    await until(lambda: door.server.clients)
+    (served,) = door.server.clients
+    assert served.transport is not None
+    inner = served.transport.get_extra_info("socket")
+    inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    asked = b"".join(REQUEST + b"%d\r\n\r\n" % number for number in range(4))
+    await asyncio.get_running_loop().sock_sendall(client, asked)
+
+
 # Guards against a connection that is closed as idle on a request that has come and was not read yet.
 @pytest.mark.parametrize("how", ["drain", "idle", "room"])
 def test_a_request_that_is_not_read_yet_is_not_closed_on(how: str) -> None:
@@ -240,15 +297,7 @@
         async with listening(backend.handle) as dial, front_door(dial, react=send_on) as (door, _):
             door.drain_time = 10.0
             with connected(door) as client:
-                await until(lambda: door.server.clients)
-                (served,) = door.server.clients
-                assert served.transport is not None
-                inner = served.transport.get_extra_info("socket")
-                inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                loop = asyncio.get_running_loop()
-                asked = b"".join(REQUEST + b"%d\r\n\r\n" % number for number in range(4))
-                await loop.sock_sendall(client, asked)
+                await ask_four(door, client)
                 await until(lambda: door.server.unflushed() and not door.host.waiting)
                 drained = asyncio.create_task(door.drain())
                 done, _ = await asyncio.wait([drained], timeout=0.3)  # it may not end: nothing is read
@@ -271,14 +320,7 @@
 
         async with listening(backend.handle) as dial, front_door(dial, react=react) as (door, script):
             with connected(door) as client:
-                await until(lambda: door.server.clients)
-                (served,) = door.server.clients
-                assert served.transport is not None
-                inner = served.transport.get_extra_info("socket")
-                inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                asked = b"".join(REQUEST + b"%d\r\n\r\n" % number for number in range(4))
-                await asyncio.get_running_loop().sock_sendall(client, asked)
+                await ask_four(door, client)
                 await until(lambda: door.server.unflushed() and door.host.waiting == 1)
             await until(lambda: script.of(i.Left))
             assert not door.host.table
