Hear a client that leaves while its answers wait, and end what is half written

Cause: an end of sending closes the transport only once all written answers have left, and `Client` heard of it in `connection_lost` alone; a client whose reading is paused (`pause_writing`) was not heard at all. `Host.give_up_waiting` looked at attempts with no connection only, so that the rest of one whose bytes waited in this process was still written.

Change: `eof_received` tells of the leave at once; clients that are not read are polled for the peer's hang-up every 50 ms; an attempt that is not written whole ends with its client or its request's answer, and never ran. Ruled out by tests that pass on the code before too: waiting for a turn, a lease, room or a connection, resting, between attempts, out, beside or behind a second copy.

Result: told within 0.5 s in both states (the bound of the test; looked for every 50 ms), nothing whole at the backend.

--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -135,9 +135,9 @@
             self.drop(request)
 
     def give_up_waiting(self, request: Open) -> None:
-        """What was not written yet must not be, as nobody waits for it or it has its answer: it never ran."""
+        """What is not written whole must not be, as nobody waits for it or it is answered: it never ran."""
         for attempt in list(request.out.values()):
-            if attempt.link is None:
+            if attempt.link is None or attempt.link.unsent:
                 attempt.give_up(Outcome.CANCELLED)
 
     def overdue(self, request: Open) -> None:
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -29,6 +29,7 @@
 SILENT_AFTER = 0.1  # and after which one that has asked nothing, or has its last answer, may be
 FLOOD = 1 << 20  # bytes read of a client that is being turned away, after which it has to pause
 FLOOD_PAUSE = 0.01
+LEFT_EVERY = 0.05  # seconds between looks for who left unread: no attempt begins 0.1 s after its client has
 
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
@@ -120,7 +121,20 @@
         self.transport = None
         self.stand(None)
         self.server.clients.discard(self)
+        self.server.unheard.pop(self, None)
         self.let_go()
+        self.leave()
+
+    def eof_received(self) -> None:
+        """The client has ended its sending, which is how one leaves.  The transport closes only once all that
+        was written has left, and until then nothing more would be heard of it.
+        """
+        self.broken, self.arriving = True, False
+        self.leave()
+        self.stand(self.server.ended)  # it has as long to read as behind any last answer
+
+    def leave(self) -> None:
+        """Nobody waits any more for what has no answer yet."""
         pending, self.pending = self.pending, deque()
         for exchange in pending:
             if exchange.request is not None:
@@ -269,8 +283,12 @@
         """Answers that a client does not read must not pile up here: no further requests until it does."""
         if self.transport is not None:
             self.transport.pause_reading()
+            hang_up = select.poll()
+            hang_up.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+            self.server.unheard[self] = hang_up
 
     def resume_writing(self) -> None:
+        self.server.unheard.pop(self, None)
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
@@ -291,10 +309,7 @@
         if self.transport is not None:
             self.transport.write_eof()
             self.stand(self.server.ended)
-            for exchange in self.pending:
-                if exchange.request is not None:  # pipelined behind a last one: nobody waits for it
-                    self.server.host.left(exchange.request)
-            self.pending.clear()
+            self.leave()  # pipelined behind a last one
 
     def abort(self) -> None:
         self.stand(None)
@@ -325,11 +340,13 @@
         self.idle: OrderedDict[Client, None] = OrderedDict()
         self.coming: OrderedDict[Client, None] = OrderedDict()
         self.ended: OrderedDict[Client, None] = OrderedDict()
+        self.unheard: dict[Client, select.poll] = {}  # those not read, as they do not read their answers
         self.ids: set[bytes] = set()  # of requests that are open
         self.held = 0
         self.stopping = False
         self.server: asyncio.Server | None = None
         self.timer = self.loop.call_later(SWEEP, self.sweep)
+        self.hearing = self.loop.call_later(LEFT_EVERY, self.hear_leaves)
 
     async def start(self) -> None:
         self.server = await self.loop.create_server(
@@ -385,6 +402,13 @@
                     client.abort()  # a close would wait for a client that never reads its last answer
         self.timer = self.loop.call_later(SWEEP, self.sweep)
 
+    def hear_leaves(self) -> None:
+        """Hear who has left while it is not read: its end of sending stands behind bytes that wait."""
+        for client in [client for client, hang_up in self.unheard.items() if hang_up.poll(0)]:
+            del self.unheard[client]
+            client.eof_received()
+        self.hearing = self.loop.call_later(LEFT_EVERY, self.hear_leaves)
+
     def overdue(self, line: OrderedDict[Client, None], most: float) -> Iterator[Client]:
         before = time.monotonic() - most
         while line and (client := next(iter(line))).since < before:
@@ -422,6 +446,7 @@
 
     def close(self) -> None:
         self.timer.cancel()
+        self.hearing.cancel()
         for client in list(self.clients):
             if client.transport is not None:
                 client.transport.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -38,6 +38,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop, self.asked, self.open = loop, 0, asyncio.Event()
         self.open_for = 0  # a port to which they come up at once
+        self.small = False  # whether they hold few bytes
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.loop, name)
@@ -46,7 +47,13 @@
         self.asked += 1
         if port != self.open_for:
             await self.open.wait()
-        return await self.loop.create_connection(protocol, host, port)
+        if not self.small:
+            return await self.loop.create_connection(protocol, host, port)
+        narrow = socket.socket()
+        narrow.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        narrow.setblocking(False)
+        await self.loop.sock_connect(narrow, (host, port))
+        return await self.loop.create_connection(protocol, sock=narrow)
 
 
 def gated(door: Any) -> Gate:
@@ -97,6 +104,33 @@
     run(test())
 
 
+# Guards against a second copy that is sent on for a client that left while it waited for a connection.
+def test_a_second_copy_that_waits_is_not_sent_once_its_client_has_left() -> None:
+    def react(event: Any) -> list[i.Action]:
+        if isinstance(event, i.Request):
+            return [i.Send(event.request, FIRST, 0.0), i.Send(event.request, 2, 0.0)]
+        return []
+
+    async def test() -> None:
+        backend, second = Backend(lambda message: None), Backend()
+        async with (
+            listening(backend.handle) as first,
+            listening(second.handle) as other,
+            front_door(first, other, react=react, caps__connect_timeout_s="5.0") as (door, script),
+        ):
+            gate = gated(door)
+            gate.open_for = door.host.upstream.pools[FIRST].address.port
+            async with Client(door.server) as client:
+                client.writer.write(client.request())
+                await until(lambda: backend.seen and gate.asked == 2)
+            await until(lambda: script.outcomes() == [Outcome.MOOT])
+            gate.open.set()
+            await until(lambda: door.host.upstream.pools[2].idle)
+            assert not second.seen
+
+    run(test())
+
+
 # Guards against a request that is sent on for a client that left while it waited for a connection.
 def test_what_waits_for_a_connection_is_not_sent_once_its_client_has_left() -> None:
     async def test() -> None:
@@ -212,7 +246,7 @@
     return data
 
 
-async def ask_four(door: FrontDoor, client: socket.socket) -> None:
+async def ask_four(door: FrontDoor, client: socket.socket, high: int | None = None) -> None:
     """Four requests at once, over a connection that holds few bytes of their answers."""
     await until(lambda: door.server.clients)
     (served,) = door.server.clients
@@ -221,6 +255,7 @@
     inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     asked = b"".join(REQUEST + b"%d\r\n\r\n" % number for number in range(4))
+    served.transport.set_write_buffer_limits(high)
     await asyncio.get_running_loop().sock_sendall(client, asked)
 
 
@@ -326,3 +361,51 @@
             assert not door.host.table
 
     run(test())
+
+
+# Guards against a client that ends its sending unheard: while it does not read its answers, either these wait
+# below the mark at which it is read no more, or it is not read.  What it still waits for must not be sent on.
+@pytest.mark.parametrize("high", [None, 1 << 20])
+def test_a_client_that_ends_its_sending_while_answers_wait_has_left(high: int | None) -> None:
+    async def test() -> None:
+        backend = Backend(lambda message: http_answer(body=b"x" * 60_000))
+
+        def react(event: Any) -> list[i.Action]:
+            return [] if getattr(event, "request", 0) == 4 else send_on(event)
+
+        async with listening(backend.handle) as dial, front_door(dial, react=react) as (door, script):
+            with connected(door) as client:
+                await ask_four(door, client, high)
+                await until(lambda: door.server.unflushed() and door.host.waiting == 1)
+                client.shutdown(socket.SHUT_WR)
+                began = time.monotonic()
+                await until(lambda: script.of(i.Left))
+                assert time.monotonic() - began < 0.5
+            await until(lambda: not door.server.clients and not door.host.table)
+
+    run(test())
+
+
+# Guards against bytes that go on being written for a client that has left, as they wait in this process: an
+# attempt that is not whole at its backend by then must not become so later.
+def test_an_attempt_that_is_not_written_whole_ends_when_its_client_leaves() -> None:
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as slow:
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            slow.setblocking(False)
+            dial = f"127.0.0.1:{slow.getsockname()[1]}"
+            async with front_door(dial, react=send_on) as (door, script):
+                pool = door.host.upstream.pools[FIRST]
+                gate = gated(door)
+                gate.small = True
+                gate.open.set()
+                async with Client(door.server) as client:
+                    client.writer.write(client.request(2, body=b"x" * 60_000))
+                    await until(lambda: any(link.unsent for link in pool.links))
+                await until(lambda: script.outcomes() == [Outcome.MOOT])
+                assert not pool.links and not door.host.table
+                taken, _ = slow.accept()
+                with taken:
+                    assert len(await read_all(taken)) < 60_000
+
+    run(test())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -510,6 +510,31 @@
     assert not sends(found) and counter.calls == asked
 
 
+# Guards backends against further attempts for clients that left: whether one is out, has just come to nothing
+# and waits for room, or has a second copy beside it.
+@pytest.mark.parametrize("state", ["out", "between", "copied"])
+def test_no_further_attempt_begins_for_a_client_that_left(state: str) -> None:
+    made, counter = gateway(classes__0__goal_time_s="4.0"), Counter()
+    assert sends(play(made, counter, START, request(9, customer=9)))  # holds what room there is
+    (first,) = sends(play(made, counter, START, request(1)))
+    out = [first]
+    if state == "between":
+        made.room = 1e-9
+        assert not sends(play(made, counter, START + 0.01, done(1, out.pop(), i.Outcome.FULL)))
+        assert [job.req.request for job in made.queue] == [1]
+    if state == "copied":
+        out += [s for s in sends(play(made, counter, START + 2.5, i.Fired(1))) if s.request == 1]
+        assert len(out) == 2
+    now = made.now
+    made.handle(now, i.Left(1))
+    made.room, found = 10.0, []
+    for number, send in enumerate(out):
+        found += play(made, counter, now + 0.1, done(1, send, i.Outcome.FULL, number))
+    for step in range(8):
+        found += play(made, counter, now + 0.1 + step * TICK, i.Fired(1))
+    assert 1 not in [send.request for send in sends(found)] and list(made.jobs) == [9]
+
+
 # Guards those within their quotas against being refused unheard where the counter bears few calls: of many
 # gateways each meets most customers for the first time.  Where leases are denied, few more are let in.
 def test_an_unknown_customers_first_request_goes_by_how_often_leases_are_granted() -> None:
