Let the test of further attempts hold back another request only where it must

Cause: went in with one test of its own red (copied): the other request that holds the room is overdue too and takes the copy that the budget allows. Change: only the case that needs it has it.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -515,7 +515,8 @@
 @pytest.mark.parametrize("state", ["out", "between", "copied"])
 def test_no_further_attempt_begins_for_a_client_that_left(state: str) -> None:
     made, counter = gateway(classes__0__goal_time_s="4.0"), Counter()
-    assert sends(play(made, counter, START, request(9, customer=9)))  # holds what room there is
+    if state == "between":  # another holds what room there is
+        assert sends(play(made, counter, START, request(9, customer=9)))
     (first,) = sends(play(made, counter, START, request(1)))
     out = [first]
     if state == "between":
@@ -532,7 +533,7 @@
         found += play(made, counter, now + 0.1, done(1, send, i.Outcome.FULL, number))
     for step in range(8):
         found += play(made, counter, now + 0.1 + step * TICK, i.Fired(1))
-    assert 1 not in [send.request for send in sends(found)] and list(made.jobs) == [9]
+    assert 1 not in [send.request for send in sends(found)] and 1 not in made.jobs
 
 
 # Guards those within their quotas against being refused unheard where the counter bears few calls: of many
