Keep enough descriptors for discovery and the counter while both move

Cause: OTHER_SOCKETS (36, 28 before) left out that two agents with all tries out and two sets of counter lines may stand at once; 39 descriptors were seen so, counted in the process, which clients and backends could have taken.

Ruled out: that a backlog accepted in one turn of the loop starves the others.

--- a/ivymux/config.py
+++ b/ivymux/config.py
@@ -10,7 +10,9 @@
 from orchidhill import interface as i
 from orchidhill.wire import SettingsError, parse_settings
 
-OTHER_SOCKETS = 36  # descriptors kept for discovery, the counter (both may be moving), the loop and the log
+# Descriptors kept for others: 14 of the loop, the log and the listener, two agents with all tries out and the
+# counter's lines twice, as both may be moving (39 were seen then), and some that end in the loop's next turn.
+OTHER_SOCKETS = 44
 HELD_PART = 1 / 8  # of the memory, for the bodies of requests
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -36,13 +37,17 @@
 
 
 @contextlib.asynccontextmanager
-async def running(path: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
-    """The program, once it listens, and its port."""
+async def running(
+    path: Path, sockets: int | None = None
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
+    """The program, once it listens, and its port; `sockets` limits its descriptors."""
     port = free_port()
     env = dict(os.environ) | {"NODE_CONFIG": str(path), "NODE_LISTEN": f"127.0.0.1:{port}"}
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "ivymux", env=env, stderr=asyncio.subprocess.PIPE
     )
+    if sockets is not None:
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
     try:
         while process.returncode is None:
             try:
