Take an answer with no length as whole when its connection is closed

Cause: an answer that tells no length ends with its connection. `Link` heard of that in `connection_lost` alone, as of a reset: the answer was thrown away and the request sent again, or failed where it must not be.

Change: `eof_received` completes an answer whose head is whole and that has no framing of its own. A reset does not come that way, and an end within a length or a head stays a reset. The connection is not kept.

The test fails without it (close), and on a copy that also ends what has a length.

--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -159,8 +159,19 @@
             return
         # Only now, with all that was read looked at: `finish` may bring the next attempt to this link,
         # which must not get what stood behind this answer.  The answer itself is good in any case.
-        assert self.transport is not None
-        attempt, result, keep = self.attempt, self.result, self.keep and error is None and not self.unsent
+        self.complete(keep=self.keep and error is None and not self.unsent)
+
+    def eof_received(self) -> None:
+        """The end of an answer that tells no length.  A reset is no end, and is not told here."""
+        if self.attempt is not None and self.headed and not self.framed and self.attempt.verdict is None:
+            self.on_message_complete()
+            if self.result is not None:
+                self.complete(keep=False)
+
+    def complete(self, keep: bool) -> None:
+        """Hand the whole answer over; whether the connection is kept for another."""
+        assert self.attempt is not None and self.result is not None
+        attempt, result = self.attempt, self.result
         self.attempt = None
         self.clear()
         if keep:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -240,3 +242,38 @@
             assert len(backend.seen) == 1 and list(upstream.pools) == [9]
 
     run(test())
+
+
+# Guards against a whole answer that is taken for a broken one, and its request sent again, as it tells no
+# length and ends with its connection; and against half of one taken for the whole: a reset is no end.
+@pytest.mark.parametrize("end", ["close", "reset", "close before the head's end", "close within a length"])
+def test_an_answer_with_no_length_ends_with_its_connection_but_not_by_a_reset(end: str) -> None:
+    async def test() -> None:
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            head = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+            if end == "close within a length":
+                head += b"Content-Length: 9\r\n"
+            if end == "close before the head's end":
+                return writer.write(head)
+            writer.write(head + b"\r\nsome")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            if end == "reset":
+                inner = writer.get_extra_info("socket")
+                inner.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                return writer.transport.abort()
+            writer.write(b"thing" if end == "close" else b"")
+
+        async with (
+            listening(handle) as dial,
+            front_door(dial, react=send_on) as (door, script),
+            Client(door.server) as client,
+        ):
+            answer = await client.ask(2)
+            whole = end == "close"
+            assert (answer.status, answer.body) == ((200, b"something") if whole else (502, b""))
+            assert script.outcomes() == [Outcome.OK if whole else Outcome.RESET]
+            assert not door.host.upstream.pools[FIRST].idle
+
+    run(test())
