Begin no attempt for a client that left before its request was read

Cause: bytes and the end of sending behind them are read one after the other, so a request that waited in the system's buffer, as in a stall of the process, was sent on for a client that had gone, however long ago. Forced with no step of the loop between a request (or 300) and the close: the module got it, and one was sent.

Change: once a request is whole, the system is asked whether its client has hung up already; if so it is dropped, and nothing more is read. One poll object a connection also serves the looks at unread bytes and at clients that are not read.

Result: nothing reaches the module; the test fails without the look.

--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -84,6 +84,7 @@
     def __init__(self, server: Server) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
+        self.signs = select.poll()  # what the system knows of the connection, and the loop not yet
         self.parser = httptools.HttpRequestParser(self)
         self.pending: deque[Exchange] = deque()
         self.standing: OrderedDict[Client, None] | None = None  # the waiting line of `Server` that it is in
@@ -114,6 +115,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
         self.transport = transport
+        self.signs.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.stand(self.server.fresh)
         self.server.add(self)
 
@@ -121,7 +123,7 @@
         self.transport = None
         self.stand(None)
         self.server.clients.discard(self)
-        self.server.unheard.pop(self, None)
+        self.server.unheard.discard(self)
         self.let_go()
         self.leave()
 
@@ -212,6 +214,9 @@
         if len(self.pending) >= MOST_PIPELINED:
             # One read may hold hundreds of requests, each with an answer of 64 KiB to be kept for its turn.
             raise BadRequest("too many requests at once", 503)
+        if self.sign(select.POLLRDHUP):
+            self.eof_received()  # it left behind its request, which may have waited here, as in a stall
+            return
         self.stand(None)
         exchange = Exchange(self, self.parser.should_keep_alive())
         self.pending.append(exchange)
@@ -283,12 +288,10 @@
         """Answers that a client does not read must not pile up here: no further requests until it does."""
         if self.transport is not None:
             self.transport.pause_reading()
-            hang_up = select.poll()
-            hang_up.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-            self.server.unheard[self] = hang_up
+            self.server.unheard.add(self)
 
     def resume_writing(self) -> None:
-        self.server.unheard.pop(self, None)
+        self.server.unheard.discard(self)
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
@@ -316,13 +319,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def sign(self, kind: int) -> bool:
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return any(events & kind for _, events in self.signs.poll(0))
+
     def unread(self) -> bool:
         """Whether bytes wait to be read: a request that has come must not be ended unseen."""
-        if self.broken or self.transport is None or self.transport.is_closing():
-            return False
-        readable = select.poll()
-        readable.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(readable.poll(0))
+        return not self.broken and self.sign(select.POLLIN)
 
 
 class Server:
@@ -340,7 +344,7 @@
         self.idle: OrderedDict[Client, None] = OrderedDict()
         self.coming: OrderedDict[Client, None] = OrderedDict()
         self.ended: OrderedDict[Client, None] = OrderedDict()
-        self.unheard: dict[Client, select.poll] = {}  # those not read, as they do not read their answers
+        self.unheard: set[Client] = set()  # those not read, as they do not read their answers
         self.ids: set[bytes] = set()  # of requests that are open
         self.held = 0
         self.stopping = False
@@ -404,8 +408,8 @@
 
     def hear_leaves(self) -> None:
         """Hear who has left while it is not read: its end of sending stands behind bytes that wait."""
-        for client in [client for client, hang_up in self.unheard.items() if hang_up.poll(0)]:
-            del self.unheard[client]
+        for client in [client for client in self.unheard if client.sign(select.POLLRDHUP)]:
+            self.unheard.discard(client)
             client.eof_received()
         self.hearing = self.loop.call_later(LEFT_EVERY, self.hear_leaves)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -409,3 +409,19 @@
                     assert len(await read_all(taken)) < 60_000
 
     run(test())
+
+
+# Guards against attempts for a client that sent a request, or many at once, and left before they were read,
+# as in a stall of this process.
+@pytest.mark.parametrize("count", [1, 300])
+def test_nothing_is_sent_on_for_a_client_that_left_before_it_was_read(count: int) -> None:
+    async def test() -> None:
+        async with front_door("127.0.0.1:1", react=send_on) as (door, script):
+            with connected(door) as client:
+                await until(lambda: door.server.clients)
+                for number in range(count):  # no step of the loop lies between these and the close
+                    assert client.send(REQUEST + b"%d\r\n\r\n" % number)
+            await until(lambda: not door.server.clients)
+            assert not script.events and not door.host.table and not door.server.ids
+
+    run(test())
