Look at the near backends alone for a request, unless none of them will do

Ruled out: `best` looks at 12 of them.

The same candidates in the same order: a property test over random changes compares them with the old walk, and fails where `near` is not in that order.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -611,7 +611,7 @@
     def choose_near(self) -> None:
         """The backends to keep to; looked at again while some are cold, as they come on top."""
         warm = [self.warmth(b) >= 1 for b in self.live]
-        self.near = [self.live[n] for n in arc(warm, self.settings.me, self.peers)]
+        self.near = [self.live[n] for n in sorted(arc(warm, self.settings.me, self.peers))]
         self.near_until = math.inf if all(warm) else self.now + RATE_SPAN / 4
 
     def allowed(self, job: Job) -> list[Backend]:
@@ -709,8 +709,10 @@
             return self.best(job, allowed)
         if self.now >= self.near_until:
             self.choose_near()
+        # All are looked at only where no near one will do: a request must not cost what a whole list does.
+        free = allowed is self.live
         near = {b.entry.backend for b in self.near}
-        best = self.best(job, [b for b in allowed if b.entry.backend in near])
+        best = self.best(job, self.near if free else [b for b in allowed if b.entry.backend in near])
         if best is None:  # a cold one has enough gateways that keep to it
             others = [b for b in allowed if b.entry.backend not in near and self.warmth(b) >= 1]
             best = self.best(job, others)
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from collections import Counter as Tally
+from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from orchidhill import interface as i
+from orchidhill.gateway import Backend, Job
 from orchidhill.subset import LEAST_BACKENDS, LEAST_SHARERS, arc, place
 
-from .helpers import START, Counter, entry, gateway, play, request, sends
+from .helpers import START, Counter, done, entry, gateway, play, request, sends
 
 
 @pytest.mark.parametrize(("peers", "count"), [(40, 60), (40, 96), (17, 60), (100, 31)])
@@ -62,3 +66,60 @@
     made.handle(START + 300, i.Members(i.Listing.DELTA, 2, gone))
     (send,) = sends(play(made, counter, START + 300, request(999, customer=999)))
     assert send.backend not in used
+
+
+# Guards a request against costing what the whole list does, and the choice against changing with that: each
+# list of candidates is the one that a walk through all backends gives.
+@given(
+    st.lists(st.tuples(st.integers(1, 60), st.sampled_from(i.State), st.booleans()), max_size=30),
+    st.integers(0, 39),
+    st.integers(0, 1 << 16),
+)
+@settings(max_examples=60, deadline=None)
+def test_candidates_are_those_of_a_walk_through_all(
+    changes: list[tuple[int, i.State, bool]], me: int, seed: int
+) -> None:
+    listed = [entry(n, cell=n % 3) for n in range(1, 41)]
+    made = gateway(listed, seed, me=str(me), peers_total="40", tariffs__0__quota_rate="0")
+    for version, (number, state, cold) in enumerate(changes, 2):
+        told = entry(number, cell=number % 3, state=state, started=START if cold else 0.0)
+        made.handle(START, i.Members(i.Listing.DELTA, version, (told,)))
+    looked: list[list[int]] = []
+    best = made.best
+
+    def recorded(job: Job, fits: list[Backend]) -> Backend | None:
+        near = {b.entry.backend for b in made.near}
+        if len(made.near) < len(made.live):
+            allowed = made.allowed(job)
+            others = [b for b in allowed if b.entry.backend not in near and made.warmth(b) >= 1]
+            walk = others if looked else [b for b in allowed if b.entry.backend in near]
+            assert [b.entry.backend for b in fits] == [b.entry.backend for b in walk]
+        looked.append([b.entry.backend for b in fits])
+        return best(job, fits)
+
+    made.best = recorded  # type: ignore[method-assign]
+    for rid in range(10):
+        looked.clear()
+        found = made.handle(START + rid, request(rid, cls=rid % 2))
+        assert bool(sends(found)) <= bool(looked)
+        for send in sends(found):
+            looked.clear()
+            made.handle(START + rid, done(rid, send, i.Outcome.RESET))
+
+
+def test_a_request_does_not_look_at_backends_that_are_not_near() -> None:
+    looked = 0
+
+    class Watched(i.Entry):
+        """An entry that tells when a choice looks at it."""
+
+        def __getattribute__(self, name: str) -> Any:
+            nonlocal looked
+            looked += name == "backend"
+            return super().__getattribute__(name)
+
+    listed = [Watched(n, 0, 0.0, i.State.READY, 0, 0, 1.0) for n in range(1, 2001)]
+    made = gateway(listed, 1, peers_total="2000", tariffs__0__quota_rate="0")
+    looked = 0
+    assert sends(made.handle(START, request(1)))
+    assert 0 < looked < 100
