Patch the list of backends by what a change names, instead of building it anew

A zone's loss told server by server would have stopped a loop for half a minute.

Change: live backends are kept in the ring's order by bisection, those out are counted as they come and go, only what an event names is looked at, and `arc` asks for the warmth of those on the arc alone; a gateway's place is kept. A whole list is sorted anew as before. When others than the near ones get warm, the near ones stay, so that is no longer looked at.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 import random
 from collections import deque
@@ -136,6 +137,10 @@
     closed: bool = False
 
 
+def place_of(backend: Backend) -> int:
+    return backend.ring
+
+
 class Gateway:  # decides for one gateway; `handle` is the only way in
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.settings = settings
@@ -587,32 +592,56 @@
     # --- backends --------------------------------------------------------------------------------
 
     def on_members(self, event: i.Members) -> None:
-        if event.listing in (i.Listing.CACHED, i.Listing.FULL):
-            for known in self.backends.values():
-                known.state = State.GONE  # unless the list names it
+        """A change costs what it changes, not what the list holds; a whole list is a change of all."""
+        whole = event.listing in (i.Listing.CACHED, i.Listing.FULL)
+        named = {entry.backend for entry in event.entries}
+        if whole:
+            for unnamed in (b for number, b in self.backends.items() if number not in named):
+                self.leave(unnamed, State.GONE)
+            self.live, named = [], set(self.backends) | named  # sorted anew: one by one would cost more
         for entry in event.entries:
             found = self.backends.get(entry.backend)
             if found is None:
-                found = Backend(entry, answered=self.now, ring=mix(entry.backend))
+                found = Backend(entry, answered=self.now, ring=mix(entry.backend), state=State.GONE)
                 self.backends[entry.backend] = found
             if entry.started > found.entry.started or not found.cold_at:
                 found.latency, found.answered = self.latency, self.now
                 found.cold_level, found.cold_at = self.random.random(), self.now  # not all at once
-            found.entry, found.state = entry, entry.state
-        for gone in [b for b in self.backends.values() if b.state is State.GONE and not b.out]:
-            del self.backends[gone.entry.backend]
-        self.live = sorted(
-            (b for b in self.backends.values() if b.state is State.READY), key=lambda b: b.ring
-        )
+            found.entry = entry
+            if entry.state is not State.READY:
+                self.leave(found, entry.state)
+            elif found.state is not State.READY:
+                found.state = State.READY
+                self.out += len(found.out)
+                if not whole:
+                    bisect.insort(self.live, found, key=place_of)
+        if whole:
+            self.live = sorted((b for b in self.backends.values() if b.state is State.READY), key=place_of)
+        for number in named:
+            if self.backends[number].state is State.GONE and not self.backends[number].out:
+                del self.backends[number]
         self.choose_near()
-        self.out = sum(len(b.out) for b in self.live)
         self.pump()
 
+    def leave(self, backend: Backend, state: State) -> None:
+        """It takes nothing new any more."""
+        if backend.state is State.READY:
+            self.out -= len(backend.out)
+            at = bisect.bisect_left(self.live, backend.ring, key=place_of)
+            if at < len(self.live) and self.live[at] is backend:
+                del self.live[at]
+        backend.state = state
+
     def choose_near(self) -> None:
         """The backends to keep to; looked at again while some are cold, as they come on top."""
-        warm = [self.warmth(b) >= 1 for b in self.live]
-        self.near = [self.live[n] for n in sorted(arc(warm, self.settings.me, self.peers))]
-        self.near_until = math.inf if all(warm) else self.now + RATE_SPAN / 4
+        self.near_until = math.inf
+
+        def warm(at: int) -> bool:
+            if cold := self.warmth(self.live[at]) < 1:  # when others get warm changes nothing here
+                self.near_until = self.now + RATE_SPAN / 4
+            return not cold
+
+        self.near = [self.live[n] for n in sorted(arc(len(self.live), warm, self.settings.me, self.peers))]
 
     def allowed(self, job: Job) -> list[Backend]:
         """Backends that the rules leave open to this job's next attempt."""
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,121 @@
+"""The module's list of backends, changed piece by piece, against one that is made anew for each change."""
+
+from __future__ import annotations
+
+import math
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from orchidhill import interface as i
+from orchidhill.gateway import RATE_SPAN, Backend, Gateway, mix
+from orchidhill.subset import arc
+from orchidhill.wire import parse_settings
+
+from .helpers import START, done, entry, request, sends, text
+
+SETTINGS = {"peers_total": "40", "tariffs__0__quota_rate": "0"}
+
+
+class Rebuilding(Gateway):
+    """The reference: each change walks, sorts and chooses among all backends."""
+
+    def on_members(self, event: i.Members) -> None:
+        if event.listing in (i.Listing.CACHED, i.Listing.FULL):
+            for known in self.backends.values():
+                known.state = i.State.GONE
+        for told in event.entries:
+            found = self.backends.get(told.backend)
+            if found is None:
+                found = Backend(told, answered=self.now, ring=mix(told.backend))
+                self.backends[told.backend] = found
+            if told.started > found.entry.started or not found.cold_at:
+                found.latency, found.answered = self.latency, self.now
+                found.cold_level, found.cold_at = self.random.random(), self.now
+            found.entry, found.state = told, told.state
+        for gone in [b for b in self.backends.values() if b.state is i.State.GONE and not b.out]:
+            del self.backends[gone.entry.backend]
+        ready = (b for b in self.backends.values() if b.state is i.State.READY)
+        self.live = sorted(ready, key=lambda b: b.ring)
+        self.choose_near()
+        self.out = sum(len(b.out) for b in self.live)
+        self.pump()
+
+    def choose_near(self) -> None:
+        warm = [self.warmth(b) >= 1 for b in self.live]
+        taken = arc(len(warm), warm.__getitem__, self.settings.me, self.peers)
+        self.near = [self.live[n] for n in sorted(taken)]
+        self.near_until = math.inf if all(warm) else self.now + RATE_SPAN / 4
+
+
+def seen(made: Gateway) -> tuple[object, ...]:
+    """What the choice of a backend rests on."""
+    states = {number: (b.state, len(b.out), b.cold_level) for number, b in made.backends.items()}
+    return [b.entry for b in made.live], [b.entry for b in made.near], made.out, states
+
+
+ENTRIES = st.lists(st.tuples(st.integers(1, 50), st.sampled_from(i.State), st.integers(0, 2)), max_size=12)
+STEPS = st.one_of(
+    st.tuples(st.just("change"), ENTRIES),
+    st.tuples(st.just("list"), ENTRIES),
+    st.tuples(st.just("request"), st.integers(0, 1)),
+    st.tuples(st.just("answer"), st.sampled_from([i.Outcome.OK, i.Outcome.FULL, i.Outcome.RESET])),
+)
+
+
+# Guards every choice against a list that is patched wrongly: over any changes, whole lists, duplicates,
+# unknown servers that go, requests and answers, both have the same backends, near ones and actions.
+@given(st.lists(STEPS, max_size=30), st.integers(0, 39), st.integers(0, 1 << 16))
+@settings(max_examples=150, deadline=None)
+def test_a_patched_list_is_the_one_made_anew(steps: list[tuple[str, object]], me: int, seed: int) -> None:
+    told = parse_settings(text(me=str(me), **SETTINGS))
+    both = (Gateway(told, seed), Rebuilding(told, seed))
+    first = i.Members(i.Listing.CACHED, 1, tuple(entry(n, cell=n % 3) for n in range(1, 41)))
+    now, rid = START, 0
+    out: list[tuple[i.Send, int]] = []
+    for version, (kind, what) in enumerate([("list", None), *steps], 1):
+        now += 0.4
+        event: i.Event = first
+        if kind in ("change", "list") and what is not None:
+            assert isinstance(what, list)
+            listed = tuple(
+                entry(n, cell=n % 3, state=state, started=now - 9 * age if age else 0.0)
+                for n, state, age in what
+            )
+            event = i.Members(i.Listing.FULL if kind == "list" else i.Listing.DELTA, version, listed)
+        elif kind == "request":
+            assert isinstance(what, int)
+            rid += 1
+            event = request(rid, cls=what)
+        elif kind == "answer":
+            if not out:
+                continue
+            assert isinstance(what, i.Outcome)
+            sent, attempt = out.pop(0)
+            event = done(sent.request, sent, what, attempt, closed=what is i.Outcome.OK)
+        actions, reference = (made.handle(now, event) for made in both)
+        assert actions == reference
+        assert seen(both[0]) == seen(both[1])
+        for send in sends(actions):
+            out.append((send, both[0].jobs[send.request].attempts - 1))
+
+
+# Guards the size to design for: a change costs what it changes.  As a ratio, for machines differ.
+@pytest.mark.parametrize("state", [i.State.DRAINING, i.State.GONE])
+def test_a_change_costs_no_more_in_a_long_list(state: i.State) -> None:
+    def cost(count: int) -> float:
+        listed = [entry(n, cell=n % 490) for n in range(1, count + 1)]
+        made = Gateway(parse_settings(text(me="7", **{**SETTINGS, "peers_total": str(count // 15)})), 1)
+        made.handle(START, i.Members(i.Listing.FULL, 1, tuple(listed)))
+        took = []
+        for n in range(1, 61):
+            for told in (entry(n, cell=n % 490, state=state), listed[n - 1]):
+                event = i.Members(i.Listing.DELTA, 1 + n, (told,))
+                began = time.process_time()
+                made.handle(START, event)
+                took.append(time.process_time() - began)
+        return sorted(took)[len(took) // 2]
+
+    assert cost(12_000) < 8 * cost(600)
