Tell a result's commit as unchanged where only new files lie about

Cause: the first result on disk made every later one say that its commit was changed ("+"), as new files counted. Change: only files that git tracks count. Result: the test fails where new files count, by the extra argument of commit().

--- a/fleetlab/result.py
+++ b/fleetlab/result.py
@@ -62,17 +62,16 @@
     )
 
 
-def commit() -> str:
-    """The commit that is run; "unknown" outside a repository."""
+def commit(here: Path = Path(__file__).parent) -> str:
+    """The commit that is run; "unknown" outside a repository.  New files do not count: a run leaves some."""
 
     def git(*words: str) -> str:
-        here = Path(__file__).parent
-        return subprocess.run(
-            ["git", *words], cwd=here, capture_output=True, text=True, check=True
-        ).stdout.strip()
+        done = subprocess.run(["git", *words], cwd=here, capture_output=True, text=True, check=True)
+        return done.stdout.strip()
 
     try:
-        return git("rev-parse", "--short=12", "HEAD") + ("+" if git("status", "--porcelain") else "")
+        changed = git("status", "--porcelain", "--untracked-files=no")
+        return git("rev-parse", "--short=12", "HEAD") + ("+" if changed else "")
     except (OSError, subprocess.CalledProcessError):
         return "unknown"
 
--- a/tests/test_fleetlab.py
+++ b/tests/test_fleetlab.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import subprocess
 from pathlib import Path
 
 import numpy as np
@@ -128,3 +129,16 @@
         (tmp_path / "it.json").write_text(content)
     done = CliRunner().invoke(app, ["report", "--results", str(tmp_path)])
     assert done.exit_code == 2 and len(done.stderr.splitlines()) == 1
+
+
+def test_a_commit_is_told_with_whether_its_files_were_changed(tmp_path: Path) -> None:
+    assert result.commit(tmp_path) == "unknown"
+    identity = ["-c", "user.name=x", "-c", "user.email=x@example.org"]
+    (tmp_path / "it.py").write_text("")
+    for words in (["init", "-q"], ["add", "it.py"], [*identity, "commit", "-qm", "one"]):
+        subprocess.run(["git", *words], cwd=tmp_path, check=True)
+    (tmp_path / "result.json").write_text("{}")  # a run before left it
+    clean = result.commit(tmp_path)
+    assert len(clean) == 12
+    (tmp_path / "it.py").write_text("x = 1")
+    assert result.commit(tmp_path) == clean + "+"
