Report a counter connection as lost if its timeout passes as it opens

Callers: at the gateway concerned, a fourth of the customers were rejected near their deadline until the process reached its memory limit and ended; its open requests were lost. Cause: the connect timeout can pass while the event loop reports a connection as made. uvloop then closes the transport and never calls connection_lost. The connection stayed OPEN, is_closing() stayed False, each write raised RuntimeError, and abort() did nothing, so the liveness check could not help either. The same sequence without the gateway: connection_made that takes longer than the timeout logs made, TimeoutError, and never lost. Change: gateway/connector.py calls connection_lost itself in that case. Each attempt to connect has its own transport object, so the liveness check replaces a silent transport at once instead of waiting for the event loop, and late events of the old one are ignored. DISCONNECTED to OPEN is no longer an allowed transition. Test: test_a_connection_whose_timeout_passes_as_it_opens_is_replaced failed before with that RuntimeError.

--- /dev/null
+++ b/gateway/connector.py
@@ -0,0 +1,46 @@
+"""Opens outgoing connections with a timeout."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from gateway.address import Address
+
+
+class OutgoingProtocol(asyncio.Protocol):
+    """Base of the protocols of outgoing connections."""
+
+    __slots__ = ()
+
+    @property
+    def has_transport(self) -> bool:
+        """Whether `connection_made` was called, and `connection_lost` was not called since."""
+        raise NotImplementedError
+
+
+async def connect(
+    loop: asyncio.AbstractEventLoop, protocol: OutgoingProtocol, address: Address, timeout_seconds: float
+) -> None:
+    """Open a connection and return once `connection_made` was called; the connection may be lost by then.
+
+    If the timeout passes, or the task is cancelled, while the event loop reports the connection as made,
+    uvloop closes the transport and never calls `connection_lost`.  It is then called here, so that a
+    protocol that was told of its connection is always told of its end.
+
+    Raises:
+        OSError: The connection failed.
+        TimeoutError: The timeout passed before the connection was made.
+    """
+    try:
+        async with asyncio.timeout(timeout_seconds):
+            await loop.create_connection(lambda: protocol, address.host, address.port)
+    except (OSError, TimeoutError) as error:
+        if not protocol.has_transport:
+            raise
+        protocol.connection_lost(error)
+    except asyncio.CancelledError:
+        if protocol.has_transport:
+            protocol.connection_lost(None)
+        raise
--- a/gateway/counter/connection.py
+++ b/gateway/counter/connection.py
@@ -2,26 +2,28 @@
 
 from __future__ import annotations
 
-import asyncio
 import enum
 import logging
 import time
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING, Protocol
 
 from gateway.backoff import Backoff
+from gateway.connector import connect
 from gateway.counter.call import CounterCall, Ping
 from gateway.counter.call_pipeline import CallPipeline
 from gateway.counter.errors import MalformedReplyError
+from gateway.counter.transport import CounterTransport
 from gateway.policy.events import Outcome
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Coroutine
 
     from gateway.address import Address
 
 MAX_PENDING_CALLS = 1000  # queued or awaiting a reply on one connection
 PING_INTERVAL_SECONDS = 2.0  # a PING after this idle time keeps the connection from being closed
-# A connection without any byte for this time while a reply is awaited is closed, as the counter's machine is
+# A transport without any byte for this time while a reply is awaited is replaced, as the counter's machine is
 # likely down.
 REPLY_TIMEOUT_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -41,8 +43,7 @@
 
 
 ALLOWED_TRANSITIONS = {
-    # DISCONNECTED to OPEN: the event loop may report a connection as made just after the attempt timed out.
-    ConnectionState.DISCONNECTED: {ConnectionState.CONNECTING, ConnectionState.OPEN},
+    ConnectionState.DISCONNECTED: {ConnectionState.CONNECTING},
     ConnectionState.CONNECTING: {ConnectionState.OPEN, ConnectionState.DISCONNECTED},
     ConnectionState.OPEN: {ConnectionState.DRAINING, ConnectionState.DISCONNECTED},
     ConnectionState.DRAINING: {ConnectionState.DISCONNECTED},
@@ -72,12 +73,12 @@
         ...
 
 
-class CounterConnection(asyncio.Protocol):
+class CounterConnection:
     """One connection to the counter at a fixed address; it reconnects as long as its owner uses it.
 
-    The event loop calls the methods of `asyncio.Protocol`.  The successor given to `replace_with` writes
-    nothing until all calls written on this connection are settled, so that the policy gets the replies to
-    calls of one name in the order of the calls.
+    Each attempt to connect has a transport of its own.  The successor given to `replace_with` writes nothing
+    until all calls written on this connection are settled, so that the policy gets the replies to calls of
+    one name in the order of the calls.
     """
 
     def __init__(self, owner: ConnectionOwner, address: Address) -> None:
@@ -90,8 +91,7 @@
         self._owner = owner
         self._predecessor: CounterConnection | None = None  # replaced by this connection, and not drained yet
         self._successor: CounterConnection | None = None  # replaces this connection once it has drained
-        self._transport: asyncio.Transport | None = None
-        self._has_unsent_bytes = False  # whether written bytes remain in the transport's buffer
+        self._transport = CounterTransport(self)
         self._backoff = Backoff(MIN_RETRY_DELAY_SECONDS, MAX_RETRY_DELAY_SECONDS)
 
     def _set_state(self, state: ConnectionState) -> None:
@@ -113,7 +113,7 @@
         """Return whether calls may be written: the connection is open, and its predecessor has drained."""
         if self.state is not ConnectionState.OPEN or self._predecessor is not None:
             return False
-        return self._transport is not None and not self._transport.is_closing()
+        return self._transport.is_writable
 
     def _write_queued_calls(self) -> None:
         while self.can_write():
@@ -123,7 +123,6 @@
             self._write(call)
 
     def _write(self, call: CounterCall | Ping) -> None:
-        assert self._transport is not None
         if not self.pipeline.awaits_reply:
             self.silent_since = time.monotonic()
         self.pipeline.append_written(call)
@@ -165,52 +164,36 @@
         is_used = not self._owner.is_closed and self._owner.is_current(self)
         if self.state is ConnectionState.DISCONNECTED and is_used:
             self._set_state(ConnectionState.CONNECTING)
-            self._owner.start_task(self._attempt_connection())
+            self._transport = CounterTransport(self)
+            self._owner.start_task(self._attempt_connection(self._transport))
 
-    async def _attempt_connection(self) -> None:
+    async def _attempt_connection(self, transport: CounterTransport) -> None:
         """Connect; after a failure, fail the queued calls and retry after the backoff delay."""
-        host = self.address.host
-        port = self.address.port
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                await self._owner.loop.create_connection(lambda: self, host, port)
+            await connect(self._owner.loop, transport, self.address, CONNECT_TIMEOUT_SECONDS)
         except (OSError, TimeoutError):
-            if self.state is ConnectionState.CONNECTING:  # OPEN if it opened just as the attempt timed out
-                self._set_state(ConnectionState.DISCONNECTED)
+            self._set_state(ConnectionState.DISCONNECTED)
             self.pipeline.fail_queued()
             self._owner.loop.call_later(self._backoff.seconds, self.connect)
             self._backoff.increase()
         finally:
             self._owner.connect_attempt_ended()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+    def transport_opened(self) -> None:
         """Replace the predecessor, if any, and write the queued calls."""
-        transport = cast("asyncio.Transport", transport)  # uvloop's transports do not subclass it
-        transport.set_write_buffer_limits(high=0)  # any unsent byte triggers pause_writing
-        self._transport = transport
         self._set_state(ConnectionState.OPEN)
-        self._has_unsent_bytes = False
         self.pipeline.reset_parser()
         self.silent_since = time.monotonic()
         if not self._owner.is_current(self):  # the address changed while connecting
-            transport.abort()
+            self._transport.abort()
             return
         self._owner.connection_opened(self)
         self._write_queued_calls()
 
-    def pause_writing(self) -> None:
-        """Record that some written bytes are not sent yet."""
-        self._has_unsent_bytes = True
-
-    def resume_writing(self) -> None:
-        """Record that all written bytes are sent."""
-        self._has_unsent_bytes = False
-
-    def connection_lost(self, _error: Exception | None) -> None:
+    def transport_lost(self) -> None:
         """Settle all written calls and reconnect."""
-        self._transport = None
         self._set_state(ConnectionState.DISCONNECTED)
-        self.pipeline.fail_written(has_unsent_bytes=self._has_unsent_bytes)
+        self.pipeline.fail_written(has_unsent_bytes=self._transport.has_unsent_bytes)
         self._close_when_drained()
         self.connect()
 
@@ -226,17 +209,21 @@
         self._close_when_drained()
 
     def check_liveness(self, now: float) -> None:
-        """Close an unresponsive connection and ping an idle one; `now` is the monotonic time in seconds."""
+        """Replace an unresponsive transport and ping an idle one; `now` is the monotonic time in seconds."""
         if self.state is not ConnectionState.OPEN:
             return
         silent_seconds = now - self.silent_since
         if self.pipeline.awaits_reply:
             if silent_seconds > REPLY_TIMEOUT_SECONDS:
-                self.abort()
+                self._replace_transport()
         elif silent_seconds > PING_INTERVAL_SECONDS:
             self._write(Ping())
 
+    def _replace_transport(self) -> None:
+        """Reconnect now, without waiting until the event loop reports the transport as lost."""
+        self._transport.discard()
+        self.transport_lost()
+
     def abort(self) -> None:
         """Close the transport immediately, if there is one."""
-        if self._transport is not None:
-            self._transport.abort()
+        self._transport.abort()
--- a/tests/counter/test_connection.py
+++ b/tests/counter/test_connection.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import time
+from typing import TYPE_CHECKING
 
 import pytest
 
-from gateway.counter.client import CONNECTION_COUNT
+from gateway.counter import connection as counter_connection
+from gateway.counter.client import CONNECTION_COUNT, CounterClient
 from gateway.counter.connection import (
     MAX_PENDING_CALLS,
     PING_INTERVAL_SECONDS,
@@ -27,6 +29,11 @@
 from tests.support.fake_counter import FakeCounter
 from tests.support.fake_server import listening
 
+if TYPE_CHECKING:
+    from gateway.counter.connection import CounterConnection
+
+CONNECT_TIMEOUT_SECONDS = 0.02  # in tests where it passes
+
 
 def counter_with_first_reply(first_reply: bytes) -> FakeCounter:
     """Return a counter that sends the given bytes as its reply to the first call."""
@@ -197,3 +204,32 @@
         for _ in range(MAX_PENDING_CALLS + 1):
             counter.client.add_to_counter(make_add_action(8))
         assert counter.outcomes == [Outcome.OVERLOADED]
+
+
+def stall_as_connections_open(monkeypatch: pytest.MonkeyPatch, stall_count: int) -> None:
+    """Stall the event loop for longer than the connect timeout as each of the first connections opens."""
+    report_opening = CounterClient.connection_opened
+    stalls = iter(range(stall_count))
+
+    def stall(client: CounterClient, connection: CounterConnection) -> None:
+        if next(stalls, None) is not None:
+            time.sleep(2 * CONNECT_TIMEOUT_SECONDS)
+        report_opening(client, connection)
+
+    monkeypatch.setattr(counter_connection, "CONNECT_TIMEOUT_SECONDS", CONNECT_TIMEOUT_SECONDS)
+    monkeypatch.setattr(CounterClient, "connection_opened", stall)
+
+
+# Guards against a connection that counts as open for ever: a connect timeout that passes while the connection
+# opens closes the transport without `connection_lost`.
+@async_test
+async def test_a_connection_whose_timeout_passes_as_it_opens_is_replaced(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    stall_as_connections_open(monkeypatch, CONNECTION_COUNT)
+    server = FakeCounter()
+    async with counter_client_for(server.handle, LONG_TIMEOUT_SECONDS) as counter:
+        await until(lambda: server.accepted_connections > CONNECTION_COUNT)
+        await counter.until_open()
+        reply = await counter.add_and_wait(make_add_action(8))
+        assert reply.outcome is Outcome.OK
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -41,6 +41,7 @@
 POLICY_TYPES = {f"gateway.policy.{Path(name).stem}" for name in TYPE_MODULES}
 SETTINGS_MODULES = {"gateway.settings_parser", "gateway.settings_reader"}
 CONFIGURATION_MODULES = {"gateway.address", "gateway.config", "gateway.settings_parser"}
+CONNECTING_MODULES = {"gateway.backoff", "gateway.connector"}
 # The modules of this project that each layer may import.  The longest matching name determines the layer.
 ALLOWED_IMPORTS: dict[str, set[str]] = {
     "gateway.policy": {"gateway.policy"},
@@ -50,9 +51,10 @@
     "gateway.settings_reader": set(),
     "gateway.config": POLICY_TYPES | SETTINGS_MODULES | {"gateway.address", "gateway.config"},
     "gateway.backoff": set(),
-    "gateway.counter": POLICY_TYPES | CONFIGURATION_MODULES | {"gateway.backoff", "gateway.counter"},
-    "gateway.discovery": POLICY_TYPES | CONFIGURATION_MODULES | {"gateway.backoff", "gateway.discovery"},
-    "gateway.upstream": POLICY_TYPES | CONFIGURATION_MODULES | {"gateway.upstream"},
+    "gateway.connector": {"gateway.address"},
+    "gateway.counter": POLICY_TYPES | CONFIGURATION_MODULES | CONNECTING_MODULES | {"gateway.counter"},
+    "gateway.discovery": POLICY_TYPES | CONFIGURATION_MODULES | CONNECTING_MODULES | {"gateway.discovery"},
+    "gateway.upstream": POLICY_TYPES | CONFIGURATION_MODULES | CONNECTING_MODULES | {"gateway.upstream"},
     "gateway.driver": POLICY_TYPES
     | CONFIGURATION_MODULES
     | {"gateway.policy.engine", "gateway.counter", "gateway.driver", "gateway.upstream"},
