End a counter call at its timeout even if its write raises

Cause: the call's timeout was scheduled after it was submitted, so an error raised by the write left a call that nothing expired; its lease counted as having a call in flight from then on. Test: test_a_call_whose_write_raises_ends_once_at_its_timeout failed before: the call ended only when the liveness check replaced the connection, after more than REPLY_TIMEOUT_SECONDS.

--- a/gateway/counter/client.py
+++ b/gateway/counter/client.py
@@ -55,12 +55,14 @@
         return [CounterConnection(self, address) for _ in range(CONNECTION_COUNT)]
 
     def add_to_counter(self, action: AddToCounter) -> None:
-        """Send an addition; `on_reply` may be called before this method returns."""
+        """Send an addition; `on_reply` may be called before this method returns.
+
+        The timeout is scheduled first, so that the call ends even if an exception is raised as it is sent.
+        """
         connection = self.connections[action.name % CONNECTION_COUNT]
         call = CounterCall(action, time.monotonic(), connection, self.on_reply)
+        self.call_expiry.schedule(call)
         connection.submit(call)
-        if not call.is_settled:
-            self.call_expiry.schedule(call)
 
     def change_address(self, address: Address) -> None:
         """Connect to another address; each connection in use remains so until its replacement is open."""
--- a/tests/counter/test_connection.py
+++ b/tests/counter/test_connection.py
@@ -15,6 +15,7 @@
     PING_INTERVAL_SECONDS,
     REPLY_TIMEOUT_SECONDS,
 )
+from gateway.counter.transport import CounterTransport
 from gateway.policy.events import Outcome
 from tests.support.counter import (
     LONG_TIMEOUT_SECONDS,
@@ -233,3 +234,23 @@
         await counter.until_open()
         reply = await counter.add_and_wait(make_add_action(8))
         assert reply.outcome is Outcome.OK
+
+
+# Guards against a call that never ends, and with it a customer's lease, because its write raised an error.
+@async_test
+async def test_a_call_whose_write_raises_ends_once_at_its_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
+    def raise_error(_transport: CounterTransport, _data: bytes) -> None:
+        raise RuntimeError("the handler is closed")
+
+    async with counter_client_for(FakeCounter().handle) as counter:
+        await counter.until_open()
+        monkeypatch.setattr(CounterTransport, "write", raise_error)
+        with pytest.raises(RuntimeError):
+            counter.client.add_to_counter(make_add_action(8))
+        await counter.until_replies(1)
+        assert counter.last_reply.elapsed < REPLY_TIMEOUT_SECONDS
+        monkeypatch.undo()
+        counter.first_connection.check_liveness(time.monotonic() + REPLY_TIMEOUT_SECONDS + 0.1)
+        await counter.until_open()
+        assert (await counter.add_and_wait(make_add_action(8))).outcome is Outcome.OK
+        assert counter.outcomes == [Outcome.TIMEOUT, Outcome.OK]
