Remove a rejected request from the waiters of its leases

Callers: none directly; a gateway whose counter calls got no reply kept each rejected request, some 1.4 kB with its event and lists, until the reply came, and leased units for requests that were already answered. Cause: only a disconnect of the client took a request out of Lease.waiters; a request that was given up near its deadline stayed until the reply to the lease's call, and awaited_units counted it. Change: Admission.release removes the request from the waiters of its leases, whatever closed it. Test: test_a_request_that_is_given_up_no_longer_waits_for_a_lease failed before, the deque held the request.

--- a/gateway/policy/admission.py
+++ b/gateway/policy/admission.py
@@ -39,10 +39,9 @@
 class Admission:
     """Admits a request once it has acquired credits from the lease of each quota of its plan.
 
-    The engine calls `register` and `admit` for a new request, `stop_waiting` if its client disconnects,
-    `release` when it has ended, `handle_counter_reply` for each reply of the counter and
-    `retry_deferred_leases` at each tick.  Under a ceiling it calls `drop_expired_credit` before the first
-    attempt, and `admit` again if credits were dropped.
+    The engine calls `register` and `admit` for a new request, `release` when it has ended,
+    `handle_counter_reply` for each reply of the counter and `retry_deferred_leases` at each tick.  Under a
+    ceiling it calls `drop_expired_credit` before the first attempt, and `admit` again if any were dropped.
 
     Attributes:
         quota_kinds_by_plan: The kinds of quota that each plan has, by plan index.
@@ -88,18 +87,16 @@
         self._admit(self.tickets[pending.request.request_id])
 
     def release(self, pending: PendingRequest) -> None:
-        """Release the credits of a request that is closed and has no attempt in flight."""
-        self.leases.release(self.tickets.pop(pending.request.request_id))
+        """Release the credits of a request that is closed and has no attempt in flight; end its waits."""
+        ticket = self.tickets.pop(pending.request.request_id)
+        for lease in ticket.leases:
+            lease.remove_waiter(pending)
+        self.leases.release(ticket)
 
     def drop_expired_credit(self, pending: PendingRequest) -> bool:
         """Drop a request's rate credits if they have expired; return whether any were dropped."""
         return self.leases.drop_expired_credit(self.tickets[pending.request.request_id])
 
-    def stop_waiting(self, pending: PendingRequest) -> None:
-        """Remove a request whose client has disconnected from the waiters of all leases."""
-        for lease in self.tickets[pending.request.request_id].leases:
-            lease.remove_waiter(pending)
-
     def _admit(self, ticket: AdmissionTicket) -> None:
         for lease in ticket.leases:
             if lease not in ticket.acquired_credits and not self._acquire_credits(lease, ticket):
--- a/gateway/policy/engine.py
+++ b/gateway/policy/engine.py
@@ -122,7 +122,6 @@
     def _on_client_disconnected(self, event: events.ClientDisconnected) -> None:
         pending = self.pending.get(event.request_id)
         if pending is not None:
-            self.admission.stop_waiting(pending)
             self._close(pending)
 
     def _on_attempt_finished(self, event: events.AttemptFinished) -> None:
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -130,6 +130,18 @@
     assert counter.calls == calls
 
 
+# Guards against requests that are kept, and leased for, after they were rejected near their deadline while
+# the counter call that they waited for was unanswered.
+def test_a_request_that_is_given_up_no_longer_waits_for_a_lease(policy: Policy) -> None:
+    assert counter_calls(policy.handle(START, make_request(1)))
+    lease = policy.leases.by_key[LeaseKey(5, QuotaKind.RATE)]
+    assert lease.awaited_units() == 1.0
+    later = policy.handle(START + 4.0, TimerFired(1))
+    assert [action.request_id for action in later if isinstance(action, Reject)] == [1]
+    assert not lease.waiters
+    assert lease.awaited_units() == 0.0
+
+
 def test_rejections_have_a_retry_after_even_if_most_clients_ignore_it(counter: FakeCounter) -> None:
     """The setting `caps.retry_after`, whether clients usually obey a Retry-After, makes no difference."""
     policy = make_policy(caps__retry_after="false", caps__max_retry_after_s="1.5")
