Connect to endpoints and discovery through the connector too

Callers: no harm was seen; an attempt or watch whose connect timed out just as the connection opened failed and was repeated. Cause: both had the same timeout round create_connection as the counter. An endpoint's connection that uvloop closed then was dropped by its pool, and a watch by its set, but neither was told, so the `closed` future of the watch stayed pending and the connection counted as having a transport. Change: both use gateway/connector.py and forget their transport as it is lost.

--- a/gateway/discovery/connection_set.py
+++ b/gateway/discovery/connection_set.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from gateway.connector import connect
 from gateway.discovery.watch_connection import WatchConnection, WatchConsumer, WatchState
 
 if TYPE_CHECKING:
@@ -58,7 +59,7 @@
         """Connect, and wait until the connection is closed or exceeds a time limit."""
         started_at = time.monotonic()
         try:
-            await self._connect(connection)
+            await connect(self._loop, connection, self._address, ATTEMPT_IDLE_TIMEOUT_SECONDS)
             await self._await_snapshot(connection, started_at + SNAPSHOT_TIMEOUT_SECONDS)
             await connection.closed
         except (OSError, TimeoutError):
@@ -66,12 +67,6 @@
         finally:
             connection.abort()
 
-    async def _connect(self, connection: WatchConnection) -> None:
-        host = self._address.host
-        port = self._address.port
-        async with asyncio.timeout(ATTEMPT_IDLE_TIMEOUT_SECONDS):
-            await self._loop.create_connection(lambda: connection, host, port)
-
     async def _await_snapshot(self, connection: WatchConnection, deadline: float) -> None:
         """Wait until the snapshot is received or the connection is closed.
 
--- a/gateway/discovery/watch_connection.py
+++ b/gateway/discovery/watch_connection.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
 import enum
 import logging
 import time
 from http import HTTPStatus
-from typing import Protocol, cast
+from typing import TYPE_CHECKING, Protocol, cast
 
 import httptools
 
+from gateway.connector import OutgoingProtocol
 from gateway.discovery import endpoint_keys
 from gateway.discovery.json_stream import JsonStream
 
+if TYPE_CHECKING:
+    import asyncio
+
 MAX_UPDATE_BYTES = 1 << 20  # for one endpoint list or delta; enough for thousands of endpoints
 
 log = logging.getLogger(__name__)
@@ -58,7 +61,7 @@
         ...
 
 
-class WatchConnection(asyncio.Protocol):
+class WatchConnection(OutgoingProtocol):
     """One connection to an agent, which parses HTTP responses and the JSON documents in them.
 
     The event loop calls the methods of `asyncio.Protocol`, and the HTTP parser calls the methods named
@@ -88,6 +91,11 @@
         assert state in ALLOWED_TRANSITIONS[self.state], f"{self.state} to {state}"
         self.state = state
 
+    @property
+    def has_transport(self) -> bool:
+        """Whether `connection_made` was called, and `connection_lost` was not called since."""
+        return self._transport is not None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Request the snapshot."""
         self._transport = cast("asyncio.Transport", transport)  # uvloop's transports do not subclass it
@@ -155,6 +163,7 @@
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Notify the watch that this connection is closed."""
+        self._transport = None
         self._set_state(WatchState.CLOSED)
         if not self.closed.done():  # it is already cancelled if the task that awaits it was cancelled
             self.closed.set_result(None)
--- a/gateway/upstream/connection.py
+++ b/gateway/upstream/connection.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import select
 import time
 from typing import TYPE_CHECKING, Protocol, cast
 
+from gateway.connector import OutgoingProtocol
 from gateway.policy.events import Outcome
 from gateway.upstream.attempt import Attempt, AttemptResult
 from gateway.upstream.errors import MalformedResponseError
 from gateway.upstream.response_parser import ResponseParser
 
 if TYPE_CHECKING:
+    import asyncio
+
     from gateway.upstream.load_report import LoadReportParser
 
 log = logging.getLogger(__name__)
@@ -36,14 +38,14 @@
         """Remove a closed connection from the pool."""
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(OutgoingProtocol):
     """A connection to an endpoint; it serves one attempt at a time.
 
     The event loop calls the methods of `asyncio.Protocol`; the pool and the attempt call the others.
 
     Attributes:
         pool: The pool that the connection belongs to.
-        transport: The transport of the connection; None until the connection is open.
+        transport: The transport of the connection; None until the connection is open and after it is lost.
         attempt: The attempt in progress; None while the connection is idle.
         idle_since: The `time.monotonic` value at which the connection became idle.
         has_unsent_bytes: Whether the transport still buffers bytes of the request.
@@ -70,6 +72,11 @@
         self.transport = transport
         self.poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
+    @property
+    def has_transport(self) -> bool:
+        """Whether `connection_made` was called, and `connection_lost` was not called since."""
+        return self.transport is not None
+
     @property
     def is_open(self) -> bool:
         """Whether the connection is open and not closing."""
@@ -156,6 +163,7 @@
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Leave the pool, and finish the attempt in progress, if any."""
+        self.transport = None
         self.pool.remove_connection(self)
         attempt = self.attempt
         if attempt is not None:
--- a/gateway/upstream/connection_pool.py
+++ b/gateway/upstream/connection_pool.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from collections import deque
 from typing import TYPE_CHECKING, Any, Protocol
 
+from gateway.connector import connect
 from gateway.policy.events import Outcome
 from gateway.upstream.connection import UpstreamConnection
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Coroutine
 
     from gateway.address import Address
@@ -130,11 +131,9 @@
 
     async def connect(self, attempt: Attempt) -> None:
         """Open a connection and send an attempt on it; pool the connection if the attempt was abandoned."""
+        connection = UpstreamConnection(self)
         try:
-            async with asyncio.timeout(self.owner.connect_timeout):
-                _, connection = await self.loop.create_connection(
-                    lambda: UpstreamConnection(self), self.address.host, self.address.port
-                )
+            await connect(self.loop, connection, self.address, self.owner.connect_timeout)
         except (OSError, TimeoutError):
             self.owner.release_connection()
             if attempt in self.waiting_attempts:
