Free closed connections without the garbage collector

Callers: none directly; closed connections stayed in memory until a full collection, which comes seldom after gc.freeze(), so the memory of a gateway rose with the number of connections in between. Cause: httptools holds the methods of the object that it calls, so each client connection, endpoint connection and watch was a reference cycle with its parser; 18 objects for a client connection. Change: the parsers are dropped in connection_lost. Test: test_closed_connections_are_freed_without_the_garbage_collector did not end before.

--- a/gateway/discovery/watch_connection.py
+++ b/gateway/discovery/watch_connection.py
@@ -164,6 +164,7 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Notify the watch that this connection is closed."""
         self._transport = None
+        del self._parser  # httptools holds the methods `on_...`, a reference cycle
         self._set_state(WatchState.CLOSED)
         if not self.closed.done():  # it is already cancelled if the task that awaits it was cancelled
             self.closed.set_result(None)
--- a/gateway/frontend/client_connection.py
+++ b/gateway/frontend/client_connection.py
@@ -103,6 +103,7 @@
         self.move_to_queue(None)
         self._registry.remove(self)
         self._release_body()
+        self.reader.release()
         self._disconnect_pending_exchanges()
 
     def data_received(self, data: bytes) -> None:
--- a/gateway/frontend/request_reader.py
+++ b/gateway/frontend/request_reader.py
@@ -147,6 +147,12 @@
         """Stop parsing; further bytes are discarded."""
         self.state = CLOSED
 
+    def release(self) -> None:
+        """Break the reference cycles with the handler and httptools after the connection is lost."""
+        self.close()
+        del self._parser
+        del self._handler
+
     def discard(self, size: int) -> bool:
         """Count bytes that are received after `close`.
 
--- a/gateway/upstream/connection.py
+++ b/gateway/upstream/connection.py
@@ -164,6 +164,7 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Leave the pool, and finish the attempt in progress, if any."""
         self.transport = None
+        self.parser.close()
         self.pool.remove_connection(self)
         attempt = self.attempt
         if attempt is not None:
--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -82,6 +82,10 @@
         self.body = b""
         self.reset_message()
 
+    def close(self) -> None:
+        """Break the reference cycle with httptools, which holds the methods `on_...`; no call may follow."""
+        del self.parser
+
     def reset_message(self) -> None:
         """Prepare for the next message, which is an interim or a final response."""
         self.state = HEADERS
--- a/tests/process/test_requests.py
+++ b/tests/process/test_requests.py
@@ -8,15 +8,18 @@
 import pytest
 
 from gateway.driver.open_request import OpenRequest
+from gateway.frontend.client_connection import ClientConnection
 from gateway.frontend.exchange import Exchange
-from gateway.frontend.request_reader import MAX_BODY_BYTES, MAX_HEADER_BYTES
+from gateway.frontend.request_reader import MAX_BODY_BYTES, MAX_HEADER_BYTES, RequestReader
 from gateway.policy.actions import Action, Reject
 from gateway.policy.events import Request
-from tests.support.event_loop import async_test, run
+from gateway.upstream.connection import UpstreamConnection
+from gateway.upstream.response_parser import ResponseParser
+from tests.support.event_loop import async_test, run, until
 from tests.support.fake_endpoint import FakeEndpoint
 from tests.support.gateway import UNREACHABLE, gateway_with_client
 from tests.support.http_messages import http_response
-from tests.support.scripted_policy import forward_to_first
+from tests.support.scripted_policy import FIRST_ENDPOINT_ID, forward_to_first
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -155,3 +158,23 @@
         await gateway.client.send_request()
         leaked = [found for found in gc.get_objects() if isinstance(found, Exchange | OpenRequest)]
         assert leaked == []
+
+
+CONNECTION_TYPES = (ClientConnection, RequestReader, UpstreamConnection, ResponseParser)
+
+
+def is_any_connection_in_memory() -> bool:
+    """Return whether a connection to a client or an endpoint, or its parser, is in memory."""
+    return any(isinstance(found, CONNECTION_TYPES) for found in gc.get_objects())
+
+
+# Guards against closed connections that stay in memory until the garbage collector frees them.
+@pytest.mark.usefixtures("no_garbage_collection")
+@async_test
+async def test_closed_connections_are_freed_without_the_garbage_collector() -> None:
+    async with gateway_with_client(FakeEndpoint()) as gateway:
+        await gateway.client.send_request()
+        assert is_any_connection_in_memory()
+        gateway.client.writer.close()
+        gateway.process.driver.upstream.pools[FIRST_ENDPOINT_ID].close_idle_connections()
+        await until(lambda: not is_any_connection_in_memory())
