Move the stand-ins of the services round a gateway to a package of their own

Cause: a soak needs the same fake endpoints, discovery agent and counter as the tests, in processes of their own, and may not import from tests. Change: tests/support/fake_*.py and http_messages.py are testbed/ now; testbed may import itself alone, and scaletest may import it. The interval at which the fake agent looks for new lines is a constant of its own.

--- a/tests/support/fake_counter.py
+++ b/testbed/fake_counter.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from tests.support.fake_server import FakeServer
+from testbed.fake_server import FakeServer
 
 if TYPE_CHECKING:
     import asyncio
--- a/tests/support/fake_discovery.py
+++ b/testbed/fake_discovery.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from tests.support.event_loop import POLL_SECONDS
-from tests.support.fake_server import FakeServer
-from tests.support.http_messages import http_response, read_message
+from testbed.fake_server import FakeServer
+from testbed.http_messages import http_response, read_message
 
+POLL_SECONDS = 0.002  # between checks for new lines of a watch
 END_OF_WATCH = b"<end>"  # a line at which the agent closes the connection
 
 
--- a/tests/support/fake_endpoint.py
+++ b/testbed/fake_endpoint.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from tests.support.fake_server import FakeServer
-from tests.support.http_messages import Message, http_response, read_message
+from testbed.fake_server import FakeServer
+from testbed.http_messages import Message, http_response, read_message
 
 if TYPE_CHECKING:
     import asyncio
--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -7,10 +7,10 @@
 from gateway.address import parse_address
 from gateway.counter.client import CONNECTION_COUNT
 from gateway.policy.events import Outcome
+from testbed.fake_counter import FakeCounter
+from testbed.fake_server import Handler, listening
 from tests.support.counter import LONG_TIMEOUT_SECONDS, counter_client_for, make_add_action
 from tests.support.event_loop import async_test
-from tests.support.fake_counter import FakeCounter
-from tests.support.fake_server import Handler, listening
 
 
 @async_test
--- a/tests/counter/test_connection.py
+++ b/tests/counter/test_connection.py
@@ -17,6 +17,8 @@
 )
 from gateway.counter.transport import CounterTransport
 from gateway.policy.events import Outcome
+from testbed.fake_counter import FakeCounter
+from testbed.fake_server import listening
 from tests.support.counter import (
     LONG_TIMEOUT_SECONDS,
     CounterTestClient,
@@ -27,8 +29,6 @@
     never_reply,
 )
 from tests.support.event_loop import async_test, until
-from tests.support.fake_counter import FakeCounter
-from tests.support.fake_server import listening
 
 if TYPE_CHECKING:
     from gateway.counter.connection import CounterConnection
--- a/tests/discovery/test_client.py
+++ b/tests/discovery/test_client.py
@@ -4,6 +4,8 @@
 
 from gateway.address import Address, parse_address
 from gateway.policy.events import EndpointState, UpdateKind
+from testbed.fake_discovery import FakeDiscoveryAgent, host_entry
+from testbed.fake_server import listening
 from tests.support.discovery import (
     FIRST_ENDPOINT,
     FIRST_ENDPOINT_ID,
@@ -13,8 +15,6 @@
     update_json,
 )
 from tests.support.event_loop import async_test, until
-from tests.support.fake_discovery import FakeDiscoveryAgent, host_entry
-from tests.support.fake_server import listening
 
 
 @async_test
--- a/tests/discovery/test_endpoint_decoder.py
+++ b/tests/discovery/test_endpoint_decoder.py
@@ -10,8 +10,8 @@
 from gateway.discovery import endpoint_decoder
 from gateway.discovery.endpoint_decoder import EndpointDecoder, derive_endpoint_id
 from gateway.discovery.errors import DiscoveryError, MalformedEndpointError, MalformedUpdateError
+from testbed.fake_discovery import host_entry
 from tests.support.discovery import FIRST_ENDPOINT, FIRST_ENDPOINT_ID, make_decoder
-from tests.support.fake_discovery import host_entry
 
 
 @pytest.fixture
--- a/tests/discovery/test_endpoint_watch.py
+++ b/tests/discovery/test_endpoint_watch.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gateway.discovery import connection_set, endpoint_watch
+from testbed.fake_discovery import END_OF_WATCH, FakeDiscoveryAgent
 from tests.support.discovery import (
     FIRST_ENDPOINT,
     FIRST_ENDPOINT_ID,
@@ -24,7 +25,6 @@
     update_json,
 )
 from tests.support.event_loop import async_test, until
-from tests.support.fake_discovery import END_OF_WATCH, FakeDiscoveryAgent
 
 MAX_UPDATE_DELAY_SECONDS = 6.0  # required by the operators
 FAULTY_ATTEMPTS = 4  # consecutive failures in spite of which an update must be received in that time
--- a/tests/discovery/test_json_stream.py
+++ b/tests/discovery/test_json_stream.py
@@ -7,8 +7,8 @@
 import pytest
 
 from gateway.discovery.json_stream import JsonStream
+from testbed.fake_discovery import host_entry
 from tests.support.discovery import SECOND_ENDPOINT, update_json
-from tests.support.fake_discovery import host_entry
 
 UPDATE = update_json(42, host_entry('s-"{[', "127.0.0.1:81"), SECOND_ENDPOINT)
 
--- a/tests/discovery/test_watch_connection.py
+++ b/tests/discovery/test_watch_connection.py
@@ -8,6 +8,8 @@
 import pytest
 
 from gateway.discovery import watch_connection
+from testbed.fake_discovery import FakeDiscoveryAgent, host_entry
+from testbed.http_messages import http_response
 from tests.support.discovery import (
     CHUNKED_RESPONSE_HEAD,
     END_OF_HEAD,
@@ -16,8 +18,6 @@
     update_json,
 )
 from tests.support.event_loop import async_test, until
-from tests.support.fake_discovery import FakeDiscoveryAgent, host_entry
-from tests.support.http_messages import http_response
 
 if TYPE_CHECKING:
     import asyncio
--- a/tests/driver/test_policy_driver.py
+++ b/tests/driver/test_policy_driver.py
@@ -6,10 +6,10 @@
 
 from gateway.policy.actions import Action, FetchEndpoints, Log, Reject, SetTimer, WatchEndpoints
 from gateway.policy.events import AttemptFinished, Outcome, Request, TimerFired
+from testbed.fake_endpoint import FakeEndpoint
+from testbed.http_messages import http_response
 from tests.support.event_loop import async_test, run, until
-from tests.support.fake_endpoint import FakeEndpoint
 from tests.support.gateway import UNREACHABLE, gateway_with_client
-from tests.support.http_messages import http_response
 from tests.support.scripted_policy import forward_to_first
 
 if TYPE_CHECKING:
--- a/tests/frontend/test_client_connection.py
+++ b/tests/frontend/test_client_connection.py
@@ -5,9 +5,9 @@
 import pytest
 
 from gateway.frontend.request_reader import MAX_DISCARDED_BYTES
+from testbed.http_messages import read_message
 from tests.support.event_loop import async_test
 from tests.support.gateway import UNREACHABLE, gateway_with_client
-from tests.support.http_messages import read_message
 
 DISCARD_COUNT = 20  # number of times that the client sends MAX_DISCARDED_BYTES
 
--- a/tests/frontend/test_listener.py
+++ b/tests/frontend/test_listener.py
@@ -11,12 +11,12 @@
 from gateway.frontend import connection_table
 from gateway.policy.actions import Action, Reject
 from gateway.policy.events import Request
+from testbed.fake_endpoint import FakeEndpoint
+from testbed.fake_server import LOOPBACK
+from testbed.http_messages import read_message
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint
-from tests.support.fake_server import LOOPBACK
 from tests.support.gateway import UNREACHABLE, gateway_with_client, running_gateway
 from tests.support.http_client import NON_IDEMPOTENT_CLASS, HttpClient
-from tests.support.http_messages import read_message
 from tests.support.scripted_policy import do_nothing, forward_to_first
 
 SHORT_TIMEOUT_SECONDS = 0.1
--- a/tests/process/program.py
+++ b/tests/process/program.py
@@ -11,8 +11,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
-from tests.support.fake_server import LOOPBACK
-from tests.support.http_messages import read_message
+from testbed.fake_server import LOOPBACK
+from testbed.http_messages import read_message
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/process/services.py
+++ b/tests/process/services.py
@@ -6,8 +6,8 @@
 import json
 from typing import TYPE_CHECKING, Any
 
-from tests.support.fake_discovery import FakeDiscoveryAgent, host_entry
-from tests.support.fake_server import FakeServer, Handler, server_address
+from testbed.fake_discovery import FakeDiscoveryAgent, host_entry
+from testbed.fake_server import FakeServer, Handler, server_address
 from tests.support.gateway import UNREACHABLE, config_text
 
 if TYPE_CHECKING:
--- a/tests/process/test_attempts.py
+++ b/tests/process/test_attempts.py
@@ -12,12 +12,12 @@
 
 from gateway.policy.actions import Action, Cancel, SetTimer, StartAttempt
 from gateway.policy.events import AttemptFinished, Outcome, Request, TimerFired
+from testbed.fake_endpoint import CLOSED_WITHOUT_RESPONSE, FakeEndpoint, send_no_response
+from testbed.fake_server import LOOPBACK, listening
+from testbed.http_messages import Message, http_response
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import CLOSED_WITHOUT_RESPONSE, FakeEndpoint, send_no_response
-from tests.support.fake_server import LOOPBACK, listening
 from tests.support.gateway import gateway_with_client
 from tests.support.http_client import NON_IDEMPOTENT_CLASS
-from tests.support.http_messages import Message, http_response
 from tests.support.scripted_policy import FIRST_ENDPOINT_ID, SECOND_ENDPOINT_ID
 
 if TYPE_CHECKING:
--- a/tests/process/test_client_connections.py
+++ b/tests/process/test_client_connections.py
@@ -9,11 +9,11 @@
 from gateway.frontend.request_reader import MAX_BODY_BYTES
 from gateway.policy.actions import Action, Fail, Reject
 from gateway.policy.events import ClientDisconnected, Request
+from testbed.fake_endpoint import FakeEndpoint, respond_with, send_no_response
+from testbed.http_messages import read_message
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint, respond_with, send_no_response
 from tests.support.gateway import UNREACHABLE, GatewayWithClient, gateway_with_client, running_gateway
 from tests.support.http_client import HttpClient
-from tests.support.http_messages import read_message
 from tests.support.scripted_policy import do_nothing, forward_to_first
 
 PIPELINED_REQUEST_COUNT = 100  # far more than the limit
--- a/tests/process/test_client_disconnects.py
+++ b/tests/process/test_client_disconnects.py
@@ -9,9 +9,9 @@
 import pytest
 
 from gateway.policy.events import ClientDisconnected
+from testbed.fake_endpoint import FakeEndpoint, respond_with
 from tests.process.raw_client import connected_socket, raw_request, send_four_requests
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint, respond_with
 from tests.support.gateway import UNREACHABLE, running_gateway
 from tests.support.scripted_policy import forward_to_first
 
--- a/tests/process/test_counter_leases.py
+++ b/tests/process/test_counter_leases.py
@@ -9,10 +9,10 @@
 
 from gateway.policy.context import stable_hash
 from gateway.policy.quota_factory import WINDOW_SECONDS
+from testbed.fake_counter import FakeCounter
+from testbed.fake_endpoint import FakeEndpoint
+from testbed.fake_server import listening
 from tests.support.event_loop import async_test
-from tests.support.fake_counter import FakeCounter
-from tests.support.fake_endpoint import FakeEndpoint
-from tests.support.fake_server import listening
 from tests.support.gateway import running_gateway
 from tests.support.http_client import HttpClient
 
--- a/tests/process/test_deadlines.py
+++ b/tests/process/test_deadlines.py
@@ -8,11 +8,11 @@
 
 from gateway.policy.actions import Action, StartAttempt
 from gateway.policy.events import ClientDisconnected, Outcome, Request
+from testbed.fake_endpoint import FakeEndpoint, send_no_response
+from testbed.http_messages import Message, http_response, read_message
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint, send_no_response
 from tests.support.gateway import gateway_with_client, running_gateway
 from tests.support.http_client import KEYED_CLASS, NON_IDEMPOTENT_CLASS, HttpClient
-from tests.support.http_messages import Message, http_response, read_message
 from tests.support.scripted_policy import FIRST_ENDPOINT_ID
 
 if TYPE_CHECKING:
--- a/tests/process/test_descriptors.py
+++ b/tests/process/test_descriptors.py
@@ -14,14 +14,14 @@
 from gateway.config import RESERVED_SOCKETS
 from gateway.counter.client import CONNECTION_COUNT
 from gateway.discovery.endpoint_watch import MAX_CONNECTIONS
+from testbed.fake_counter import FakeCounter
+from testbed.fake_discovery import FakeDiscoveryAgent
+from testbed.fake_endpoint import FakeEndpoint, respond_with
+from testbed.fake_server import LOOPBACK
+from testbed.http_messages import read_message
 from tests.process.program import RunningProgram, open_descriptors, running_program
 from tests.process.services import Services, publish_snapshot, unreachable_host, write_config
 from tests.support.event_loop import async_test, until
-from tests.support.fake_counter import FakeCounter
-from tests.support.fake_discovery import FakeDiscoveryAgent
-from tests.support.fake_endpoint import FakeEndpoint, respond_with
-from tests.support.fake_server import LOOPBACK
-from tests.support.http_messages import read_message
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/tests/process/test_endpoint_connections.py
+++ b/tests/process/test_endpoint_connections.py
@@ -16,11 +16,11 @@
     Request,
     UpdateKind,
 )
+from testbed.fake_endpoint import FakeEndpoint, send_no_response
+from testbed.http_messages import http_response
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint, send_no_response
 from tests.support.gateway import gateway_with_client
 from tests.support.http_client import HttpClient
-from tests.support.http_messages import http_response
 from tests.support.scripted_policy import FIRST_ENDPOINT_ID, forward_to_first
 
 OVER_HALF_IDLE_TIMEOUT_SECONDS = 16.0  # the endpoints' idle timeout is 30 s
--- a/tests/process/test_reload.py
+++ b/tests/process/test_reload.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING, Any
 
 from gateway.counter.client import CONNECTION_COUNT
+from testbed.fake_counter import FakeCounter
+from testbed.fake_discovery import FakeDiscoveryAgent
+from testbed.fake_endpoint import FakeEndpoint
 from tests.process.program import RunningProgram, readiness_status, running_program
 from tests.process.services import Services, publish_snapshot, write_config, write_malformed_config
 from tests.support.event_loop import async_test, until
-from tests.support.fake_counter import FakeCounter
-from tests.support.fake_discovery import FakeDiscoveryAgent
-from tests.support.fake_endpoint import FakeEndpoint
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/tests/process/test_requests.py
+++ b/tests/process/test_requests.py
@@ -15,10 +15,10 @@
 from gateway.policy.events import Request
 from gateway.upstream.connection import UpstreamConnection
 from gateway.upstream.response_parser import ResponseParser
+from testbed.fake_endpoint import FakeEndpoint
+from testbed.http_messages import http_response
 from tests.support.event_loop import async_test, run, until
-from tests.support.fake_endpoint import FakeEndpoint
 from tests.support.gateway import UNREACHABLE, gateway_with_client
-from tests.support.http_messages import http_response
 from tests.support.scripted_policy import FIRST_ENDPOINT_ID, forward_to_first
 
 if TYPE_CHECKING:
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -7,11 +7,11 @@
 
 from gateway.policy.actions import Action, StartAttempt
 from gateway.policy.events import Request
+from testbed.fake_endpoint import FakeEndpoint, send_no_response
+from testbed.http_messages import http_response
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint, send_no_response
 from tests.support.gateway import gateway_with_client
 from tests.support.http_client import NON_IDEMPOTENT_CLASS, HttpClient
-from tests.support.http_messages import http_response
 from tests.support.scripted_policy import FIRST_ENDPOINT_ID, SECOND_ENDPOINT_ID, forward_to_first
 
 SHORT_DRAIN_SECONDS = 0.7
--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -12,13 +12,13 @@
 
 import pytest
 
+from testbed.fake_counter import FakeCounter
+from testbed.fake_discovery import FakeDiscoveryAgent
+from testbed.fake_endpoint import FakeEndpoint
+from testbed.fake_server import LOOPBACK
 from tests.process.program import free_port, readiness_status, running_program
 from tests.process.services import Services, publish_snapshot, unreachable_host, write_config
 from tests.support.event_loop import async_test
-from tests.support.fake_counter import FakeCounter
-from tests.support.fake_discovery import FakeDiscoveryAgent
-from tests.support.fake_endpoint import FakeEndpoint
-from tests.support.fake_server import LOOPBACK
 from tests.support.gateway import config_without
 
 if TYPE_CHECKING:
--- a/tests/process/test_start_endpoint_list.py
+++ b/tests/process/test_start_endpoint_list.py
@@ -8,10 +8,10 @@
 from typing import TYPE_CHECKING
 
 from gateway.process import GatewayProcess
+from testbed.fake_discovery import host_entry
+from testbed.fake_server import listening
 from tests.support.discovery import GatedAgent, update_json
 from tests.support.event_loop import async_test, until
-from tests.support.fake_discovery import host_entry
-from tests.support.fake_server import listening
 from tests.support.gateway import make_config
 
 if TYPE_CHECKING:
--- a/tests/process/test_unfinished_connections.py
+++ b/tests/process/test_unfinished_connections.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from testbed.fake_endpoint import FakeEndpoint, respond_with
 from tests.process.raw_client import (
     connected_socket,
     raw_request,
@@ -18,7 +19,6 @@
     send_four_requests,
 )
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint, respond_with
 from tests.support.gateway import running_gateway
 from tests.support.scripted_policy import forward_to_first
 
--- a/tests/process/test_waiting_attempts.py
+++ b/tests/process/test_waiting_attempts.py
@@ -21,11 +21,11 @@
     UpdateKind,
 )
 from gateway.upstream import connection_pool
+from testbed.fake_endpoint import FakeEndpoint, respond_with, send_no_response
+from testbed.fake_server import LOOPBACK, FakeServer
 from tests.process.gated_loop import GatedLoop, gate_connections
 from tests.process.raw_client import read_all
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint, respond_with, send_no_response
-from tests.support.fake_server import LOOPBACK, FakeServer
 from tests.support.gateway import gateway_with_client, running_gateway
 from tests.support.http_client import NON_IDEMPOTENT_CLASS, HttpClient
 from tests.support.scripted_policy import (
@@ -41,7 +41,7 @@
 
     from gateway.driver.policy_driver import PolicyDriver
     from gateway.process import GatewayProcess
-    from tests.support.http_messages import Message
+    from testbed.http_messages import Message
 
 LONG_CONNECT_TIMEOUT = {"caps__connect_timeout_s": "5.0"}
 LIST_VERSION = 42
--- a/tests/support/counter.py
+++ b/tests/support/counter.py
@@ -11,8 +11,8 @@
 from gateway.counter.client import CounterClient
 from gateway.counter.connection import ConnectionState, CounterConnection
 from gateway.policy.actions import AddToCounter
+from testbed.fake_server import Handler, listening
 from tests.support.event_loop import until
-from tests.support.fake_server import Handler, listening
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/support/discovery.py
+++ b/tests/support/discovery.py
@@ -13,10 +13,10 @@
 from gateway.discovery import connection_set
 from gateway.discovery.client import DiscoveryClient
 from gateway.discovery.endpoint_decoder import EndpointDecoder
+from testbed.fake_discovery import FakeDiscoveryAgent, host_entry
+from testbed.fake_server import Handler, listening
+from testbed.http_messages import http_response
 from tests.support.event_loop import until
-from tests.support.fake_discovery import FakeDiscoveryAgent, host_entry
-from tests.support.fake_server import Handler, listening
-from tests.support.http_messages import http_response
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -9,8 +9,8 @@
 
 from gateway.config import Config, parse_config
 from gateway.process import GatewayProcess
-from tests.support.fake_discovery import host_entry
-from tests.support.fake_server import FakeServer, Handler, server_address
+from testbed.fake_discovery import host_entry
+from testbed.fake_server import FakeServer, Handler, server_address
 from tests.support.http_client import HttpClient
 from tests.support.policy import BASE_SETTINGS
 from tests.support.scripted_policy import Reaction, ScriptedPolicy, do_nothing, forward_to_first
--- a/tests/support/http_client.py
+++ b/tests/support/http_client.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from tests.support.fake_server import LOOPBACK
-from tests.support.http_messages import Message, read_message
+from testbed.fake_server import LOOPBACK
+from testbed.http_messages import Message, read_message
 
 if TYPE_CHECKING:
     from gateway.frontend.listener import Listener
--- a/tests/support/upstream.py
+++ b/tests/support/upstream.py
@@ -8,15 +8,15 @@
 
 from gateway.policy.actions import Action, Fail, StartAttempt
 from gateway.policy.events import AttemptFinished, Outcome, Request
+from testbed.http_messages import Message, http_response, read_message
 from tests.support.gateway import running_gateway
 from tests.support.http_client import HttpClient
-from tests.support.http_messages import Message, http_response, read_message
 from tests.support.scripted_policy import FIRST_ENDPOINT_ID, ScriptedPolicy
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
-    from tests.support.fake_server import FakeServer, Handler
+    from testbed.fake_server import FakeServer, Handler
 
 
 def echo_request_id(message: Message) -> bytes:
--- a/tests/test_connector.py
+++ b/tests/test_connector.py
@@ -10,8 +10,8 @@
 
 from gateway.address import Address, parse_address
 from gateway.connector import OutgoingProtocol, connect
+from testbed.fake_server import listening
 from tests.support.event_loop import async_test
-from tests.support.fake_server import listening
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -71,7 +71,8 @@
     "gateway.__main__": {"gateway.config", "gateway.log_setup", "gateway.serve"},
     "gateway.simulator": {"gateway.policy", "gateway.settings_parser", "gateway.simulator"},
     "gateway": set(),  # the package itself
-    "scaletest": {"gateway.policy", "scaletest"},
+    "scaletest": {"gateway.policy", "scaletest", "testbed"},
+    "testbed": {"testbed"},
 }
 
 
@@ -103,7 +104,8 @@
     return ".".join(parts[:-1] if parts[-1] == "__init__" else parts)
 
 
-SOURCE_FILES = sorted(path for package in ("gateway", "scaletest") for path in (ROOT / package).rglob("*.py"))
+SOURCE_PACKAGES = ("gateway", "scaletest", "testbed")
+SOURCE_FILES = sorted(path for package in SOURCE_PACKAGES for path in (ROOT / package).rglob("*.py"))
 
 
 @pytest.mark.parametrize("path", SOURCE_FILES, ids=module_name)
@@ -111,7 +113,7 @@
     module = module_name(path)
     layer = max((layer for layer in ALLOWED_IMPORTS if is_within(module, layer)), key=len)
     for imported in imported_modules(path):
-        if imported.split(".")[0] in ("gateway", "scaletest", "tests"):
+        if imported.split(".")[0] in ("gateway", "scaletest", "testbed", "tests"):
             allowed = any(is_within(imported, package) for package in ALLOWED_IMPORTS[layer])
             assert allowed, f"{module} must not import {imported}"
 
--- a/tests/upstream/test_client.py
+++ b/tests/upstream/test_client.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from gateway.policy.events import Outcome
+from testbed.fake_endpoint import FakeEndpoint
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint
 from tests.support.gateway import gateway_with_client
 from tests.support.scripted_policy import FIRST_ENDPOINT_ID
 from tests.support.upstream import echo_request_id
--- a/tests/upstream/test_connection.py
+++ b/tests/upstream/test_connection.py
@@ -11,16 +11,16 @@
 import pytest
 
 from gateway.policy.events import AttemptFinished, Outcome
+from testbed.fake_endpoint import FakeEndpoint
+from testbed.http_messages import http_response, read_message
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint
 from tests.support.gateway import gateway_with_client
 from tests.support.http_client import NON_IDEMPOTENT_CLASS
-from tests.support.http_messages import http_response, read_message
 from tests.support.scripted_policy import FIRST_ENDPOINT_ID
 from tests.support.upstream import echo_request_id, two_clients
 
 if TYPE_CHECKING:
-    from tests.support.fake_server import Handler
+    from testbed.fake_server import Handler
 
 
 # Guards against forwarding bytes that follow a response as the response to the next request, which starts as
--- a/tests/upstream/test_connection_pool.py
+++ b/tests/upstream/test_connection_pool.py
@@ -7,11 +7,11 @@
 
 from gateway.policy.events import ClientDisconnected, Outcome
 from gateway.upstream import connection_pool
+from testbed.fake_endpoint import FakeEndpoint
+from testbed.http_messages import read_message
 from tests.support.event_loop import async_test, until
-from tests.support.fake_endpoint import FakeEndpoint
 from tests.support.gateway import running_gateway
 from tests.support.http_client import NON_IDEMPOTENT_CLASS, HttpClient
-from tests.support.http_messages import read_message
 from tests.support.scripted_policy import FIRST_ENDPOINT_ID, forward_to_first
 from tests.support.upstream import echo_request_id, two_clients
 
--- a/tests/upstream/test_load_report.py
+++ b/tests/upstream/test_load_report.py
@@ -8,12 +8,12 @@
 
 from gateway.policy.events import AttemptFinished
 from gateway.upstream.load_report import LoadReportParser
+from testbed.fake_endpoint import FakeEndpoint
 from tests.support.event_loop import async_test
-from tests.support.fake_endpoint import FakeEndpoint
 from tests.support.gateway import gateway_with_client
 
 if TYPE_CHECKING:
-    from tests.support.http_messages import Message
+    from testbed.http_messages import Message
 
 MALFORMED = [
     pytest.param("TEXT util=none", id="word as value"),
