Run the idle clients of the descriptor test in a process of their own

Callers: none; test_idle_clients_leave_descriptors_for_other_connections failed when 6 to 8 copies ran at once. Cause: 600 clients that reconnect every 0.2 s shared an event loop with the counter, the agent and the client that asks. The counter's replies came after the gateway's timeout of 50 ms, so requests were rejected with 503. The number of clients, their delay and all asserts are as they were.

--- a/tests/process/test_descriptors.py
+++ b/tests/process/test_descriptors.py
@@ -19,6 +19,7 @@
 from testbed.fake_endpoint import FakeEndpoint, respond_with
 from testbed.fake_server import LOOPBACK
 from testbed.http_messages import read_message
+from testbed.idle_clients import IdleClientProcess
 from tests.process.program import RunningProgram, open_descriptors, running_program
 from tests.process.services import Services, publish_snapshot, unreachable_host, write_config
 from tests.support.event_loop import async_test, until
@@ -42,31 +43,6 @@
 )
 
 
-class IdleClients:
-    """Clients that connect at the same time, send nothing, and reconnect when they are disconnected."""
-
-    def __init__(self, port: int) -> None:
-        self.port = port
-        self.closed_count = 0
-        self.tasks = [asyncio.create_task(self.stay_connected()) for _ in range(IDLE_CLIENT_COUNT)]
-
-    async def stay_connected(self) -> None:
-        while True:
-            with contextlib.suppress(OSError):
-                reader, writer = await asyncio.open_connection(LOOPBACK, self.port)
-                try:
-                    await reader.read()
-                finally:
-                    writer.close()
-                self.closed_count += 1
-            await asyncio.sleep(RECONNECT_SECONDS)
-
-    async def disconnect(self) -> None:
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
-
 class UnresponsiveDiscoveryAgent(FakeDiscoveryAgent):
     """An agent that never responds on connections that are made while it is down."""
 
@@ -179,10 +155,12 @@
     async with Services() as services:
         site = await start_site(services, config_path)
         site.agent.is_down = True
-        idle_clients = IdleClients(site.program.port)
+        idle_clients = await IdleClientProcess.start(
+            services, site.program.port, IDLE_CLIENT_COUNT, RECONNECT_SECONDS
+        )
         customers = itertools.count()  # a new customer for each request, so that no quota is exceeded
         max_descriptors = await send_requests_beside_idle_clients(site.program, customers)
-        assert idle_clients.closed_count
+        assert await idle_clients.closed_count()
         assert site.agent.connections_while_down > 1
         assert site.counter.open_connections == CONNECTION_COUNT
         assert site.counter.calls
@@ -190,7 +168,7 @@
         publish_snapshot(site.agent, 2, [site.second_host])
         site.agent.is_down = False
         await wait_for_second_endpoint(site.program, customers)
-        await idle_clients.disconnect()
+        idle_clients.disconnect()
         log = await kill_and_read_log(site.program)
         assert "open files" not in log, log
         assert max_descriptors < MAX_SOCKETS, log
