Add a soak of real gateways between stand-ins that misbehave by a seed

Change: python -m scaletest soak draws a script from a seed (endpoint, counter and discovery faults, endpoints that are replaced, series of signals, idle clients), plays it with real gateway processes, and judges requests, attempts, logs, exits, memory and descriptors from outside.

--- a/scaletest/__main__.py
+++ b/scaletest/__main__.py
@@ -1,4 +1,4 @@
-"""Command line: `python -m scaletest slope NAME`, then `python -m scaletest report`."""
+"""Command line of `python -m scaletest`: `slope NAME`, then `report`; `soak`."""
 
 from __future__ import annotations
 
@@ -11,10 +11,15 @@
 
 from scaletest import membership, report, result
 from scaletest.scenario import ScaletestError, load_scenario
+from scaletest.soak import command as soak_command
+from scaletest.soak.script import draw_script
 
 RESULTS_FOLDER = Path("results")
 EXPERIMENTS = {"membership": membership.EXPERIMENT}  # by the name of the scenario
+EXIT_VIOLATION = 1
 EXIT_UNUSABLE_INPUT = 2
+MIN_SOAK_SECONDS = 10.0
+MAX_SOAK_GATEWAYS = 16
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help=__doc__)
 
@@ -60,6 +65,27 @@
     typer.echo(text)
 
 
+@app.command(name="soak")
+def run_soaks(  # each is an option of the command
+    seed: Annotated[int, typer.Option(min=0, help="the first seed")] = 1,
+    seconds: Annotated[float, typer.Option(min=MIN_SOAK_SECONDS, help="how long requests are sent")] = 60.0,
+    gateways: Annotated[int, typer.Option(min=1, max=MAX_SOAK_GATEWAYS, help="gateway processes")] = 3,
+    count: Annotated[int, typer.Option(min=1, help="number of seeds, one after another")] = 1,
+    *,
+    print_only: Annotated[bool, typer.Option("--print", help="print the scripts and run nothing")] = False,
+) -> None:
+    """Run gateways between stand-ins that misbehave as a seed says; exit with 1 if a rule is broken."""
+    failed: list[int] = []
+    for number in range(seed, seed + count):
+        if print_only:
+            typer.echo("\n".join(draw_script(number, seconds, gateways).lines()))
+        elif not soak_command.run_seed(number, seconds, gateways, typer.echo):
+            failed.append(number)
+    if failed:
+        typer.echo(f"{len(failed)} of {count} seeds failed: {failed}")
+        raise typer.Exit(EXIT_VIOLATION)
+
+
 def newest_result(folder: Path) -> Path:
     """Return the most recently written result of a folder; exit if there is none."""
     files = list(folder.glob("*.json"))
