Do not subtract hung attempts at endpoints that are gone from the attempts at ready ones

Callers: while endpoints were gone or draining with attempts hung at them, a gateway sent more attempts to the remaining endpoints than its concurrency limit allows, which made them late under load. Cause: attempts_in_flight counts attempts at ready endpoints, and has_capacity subtracted the hung attempts at all endpoints from it. Change: EndpointTable keeps each attempt with its endpoint and counts hung ones at ready endpoints alone.

--- a/gateway/policy/concurrency_limiter.py
+++ b/gateway/policy/concurrency_limiter.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from itertools import takewhile
 from typing import TYPE_CHECKING
 
 from gateway.policy.context import LATENCY_TARGET_FRACTION, LATENCY_WEIGHT, REPORT_WEIGHT, Context
@@ -79,12 +78,9 @@
             return False
         total_limit = self.concurrency_limit * len(self.endpoints.ready)
         limit = total_limit + HEADROOM_DEVIATIONS * math.sqrt(total_limit)
-        return self.endpoints.attempts_in_flight - self._count_hung_attempts() < limit
-
-    def _count_hung_attempts(self) -> int:
-        started_before = self.context.now - OUTLIER_FACTOR * self.mean_latency
-        hung = takewhile(started_before.__gt__, self.endpoints.attempt_start_times.values())  # oldest first
-        return len(list(hung))
+        hung_before = self.context.now - OUTLIER_FACTOR * self.mean_latency
+        hung_attempts = self.endpoints.count_hung_attempts(hung_before)
+        return self.endpoints.attempts_in_flight - hung_attempts < limit
 
     def record_outcome(self, *, late: bool, typical: bool) -> None:
         """Adapt the limit to an outcome; one that is not typical is left out of the late ratio.
--- a/gateway/policy/endpoints.py
+++ b/gateway/policy/endpoints.py
@@ -94,7 +94,7 @@
         self.subset_ids: frozenset[int] = frozenset()
         self.subset_expires_at = math.inf
         self.attempts_in_flight = 0  # at ready endpoints
-        self.attempt_start_times: dict[AttemptKey, float] = {}  # of all attempts in flight, oldest first
+        self.attempts: dict[AttemptKey, Attempt] = {}  # all attempts in flight, oldest first
 
     def apply_update(self, update: EndpointUpdate, initial_latency: float) -> None:
         """Apply an update of the endpoint list.
@@ -182,14 +182,24 @@
     def start_attempt(self, endpoint: Endpoint, key: AttemptKey) -> Attempt:
         """Record the start of an attempt at a ready endpoint."""
         now = self.context.now
+        attempt = Attempt(endpoint, now)
         endpoint.start_attempt(key, now)
-        self.attempt_start_times[key] = now
+        self.attempts[key] = attempt
         self.attempts_in_flight += 1
-        return Attempt(endpoint, now)
+        return attempt
+
+    def count_hung_attempts(self, started_before: float) -> int:
+        """Return how many of `attempts_in_flight` started before a Unix time in seconds."""
+        count = 0
+        for attempt in self.attempts.values():
+            if attempt.started_at >= started_before:
+                break
+            count += attempt.endpoint.is_ready
+        return count
 
     def finish_attempt(self, endpoint_id: int, key: AttemptKey) -> Attempt | None:
         """Record the end of an attempt and return it, or None if it is not in flight at this endpoint."""
-        self.attempt_start_times.pop(key, None)
+        self.attempts.pop(key, None)
         endpoint = self.by_id.get(endpoint_id)
         if endpoint is None:
             return None
--- a/tests/policy/test_concurrency_limiter.py
+++ b/tests/policy/test_concurrency_limiter.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
-from gateway.policy.events import (
-    Outcome,
-    ProbeFinished,
-)
+from gateway.policy.concurrency_limiter import HEADROOM_DEVIATIONS
+from gateway.policy.events import EndpointUpdate, Outcome, ProbeFinished, UpdateKind
 from tests.support.policy import (
     START,
     make_finished,
@@ -43,3 +42,22 @@
     assert policy.concurrency_limiter.has_capacity()
     later = started_attempts(policy.handle(START + 1.5, make_request(99)))
     assert {attempt.endpoint_id for attempt in later} == {2}
+
+
+# Guards against more attempts than the limit allows: hung attempts at an endpoint that is gone are not among
+# the attempts at ready endpoints, so they must not be subtracted from these.
+def test_attempts_hung_at_an_endpoint_that_is_gone_leave_the_limit_unchanged() -> None:
+    policy = make_policy([make_record(1), make_record(2)], tariffs__0__quota_rate="0")
+    limiter = policy.concurrency_limiter
+    gone = policy.endpoints.by_id[1]
+    for request_id in range(5):
+        policy.endpoints.start_attempt(gone, (request_id, 0))
+    policy.handle(START, EndpointUpdate(UpdateKind.SNAPSHOT, 2, (make_record(2),)))
+    policy.context.now = START + 10.0
+    started = 0
+    while limiter.has_capacity():
+        policy.endpoints.start_attempt(policy.endpoints.by_id[2], (100 + started, 0))
+        started += 1
+    assert started == math.ceil(
+        limiter.concurrency_limit + HEADROOM_DEVIATIONS * math.sqrt(limiter.concurrency_limit)
+    )
