Judge a request that crosses a close apart from the copy that is sent again

Evidence: each of the six violations ended within 5 ms of being sent, on a used connection, and its copy was answered. Change: arrivals after the copy was sent belong to the copy. One that came before still makes the request a lost one. Violations say when their request was sent after SIGTERM. Test: test_a_request_that_crosses_a_close_is_sent_again_and_answered.

--- a/scaletest/soak/judge.py
+++ b/scaletest/soak/judge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 from collections import defaultdict
 from dataclasses import dataclass
@@ -69,12 +70,17 @@
 def _judge_requests(soak: SoakRecord) -> Iterator[Violation]:
     """Yield requests without exactly one final answer in time."""
     arrivals = _arrivals_by_request(soak)
+    resent_at = {request.request_id: request.sent_at for request in soak.load.requests if request.is_resent}
     for request_id in soak.load.surplus_answers:
         yield Violation("one answer", 0.0, f"request {request_id}: bytes after the answer")
     for request in soak.load.requests:
-        fault = _request_fault(request, is_forwarded=bool(arrivals[request.request_id]), soak=soak)
+        # Arrivals after it was sent again belong to that copy.
+        until = math.inf if request.is_resent else resent_at.get(request.request_id, math.inf)
+        is_forwarded = any(arrival.at < until for arrival in arrivals[request.request_id])
+        fault = _request_fault(request, is_forwarded=is_forwarded, soak=soak)
         if fault:
             text = f"request {request.request_id} ({request.request_class}): {fault}"
+            text += _time_since_signal(request, soak)
             yield Violation("answer", request.sent_at, text, request.gateway)
 
 
@@ -102,6 +108,17 @@
     return ""
 
 
+def _time_since_signal(request: RequestRecord, soak: SoakRecord) -> str:
+    """Return when a request was sent and ended after the SIGTERM of its process; empty without SIGTERM."""
+    for process in soak.processes:
+        is_process = process.gateway == request.gateway and process.started_at <= request.sent_at
+        if is_process and 0 < process.terminated_at <= request.ended_at <= process.ended_at + 1.0:
+            sent = request.sent_at - process.terminated_at
+            exited = process.ended_at - process.terminated_at
+            return f", sent {sent:.3f} s after SIGTERM, exit after {exited:.3f} s"
+    return ""
+
+
 def _is_excused(request: RequestRecord, soak: SoakRecord) -> bool:
     """Return whether the gateway was killed outright while the request was open."""
     return any(
--- a/tests/scaletest/test_soak.py
+++ b/tests/scaletest/test_soak.py
@@ -187,6 +187,18 @@
     assert rules(soak) == []
 
 
+# Guards against arrivals of the copy that are taken for those of a request whose connection was closed.
+def test_a_request_that_crosses_a_close_is_sent_again_and_answered(soak: SoakRecord) -> None:
+    (request,) = soak.load.requests
+    again = replace(request, is_resent=True, sent_at=SENT_AT + 0.01)
+    request.end = RequestEnd.CLOSED
+    soak.load.requests.append(again)
+    soak.arrivals[:] = [replace(soak.arrivals[0], at=SENT_AT + 0.02)]
+    assert rules(soak) == []
+    soak.arrivals[:] = [replace(soak.arrivals[0], at=SENT_AT + 0.005)]
+    assert rules(soak) == ["answer"]
+
+
 # A gateway that is killed outright loses what it held; a request on a connection that was used before may
 # cross its close.
 def test_what_the_pages_allow_is_no_violation(soak: SoakRecord) -> None:
