Keep a counter connection from replacing itself while an address change is under way

Callers: requests that waited for a lease of that connection were rejected after the counter's timeout, again and again, as the connection reconnected for as long as the other replacements were not open. Cause: a replacement that had replaced its predecessor, dropped and reconnected was still listed as a replacement; connection_opened made it its own predecessor, and transfer_queue then emptied its queue. Change: a connection that is in use already replaces nothing. Test: test_a_replacement_that_reconnects_during_a_move_does_not_replace_itself; before, its call timed out.

--- a/gateway/counter/client.py
+++ b/gateway/counter/client.py
@@ -94,7 +94,8 @@
 
     def connection_opened(self, connection: CounterConnection) -> None:
         """Put a replacement connection that has just opened into use."""
-        if connection not in self.replacements:
+        is_replacement = connection in self.replacements and connection not in self.connections
+        if not is_replacement:  # it reconnects, and may still be listed while the others are not open
             return
         index = self.replacements.index(connection)
         replaced = self.connections[index]
--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -9,7 +9,7 @@
 from gateway.policy.events import Outcome
 from testbed.fake_counter import FakeCounter
 from testbed.fake_server import Handler, listening
-from tests.support.counter import LONG_TIMEOUT_SECONDS, counter_client_for, make_add_action
+from tests.support.counter import LONG_TIMEOUT_SECONDS, counter_client_for, is_open, make_add_action
 from tests.support.event_loop import async_test
 
 
@@ -75,3 +75,27 @@
         counter.client.change_address(parse_address("127.0.0.1:2"))
         reply = await counter.add_and_wait(make_add_action())
         assert reply.outcome is Outcome.OK
+
+
+# Guards against a connection that hands its queued calls over to itself, and loses them: one that has
+# replaced another drops and reconnects while the other replacements are not open yet.
+@async_test
+async def test_a_replacement_that_reconnects_during_a_move_does_not_replace_itself() -> None:
+    server = FakeCounter()
+    async with (
+        listening(server.handle) as new_address,
+        counter_client_for(FakeCounter().handle, LONG_TIMEOUT_SECONDS) as counter,
+    ):
+        client = counter.client
+        await counter.until_open()
+        client.change_address(parse_address(new_address))
+        await counter.until_moved()
+        client.replacements = list(client.connections)  # as while the others are not open yet
+        first = counter.first_connection
+        first.abort()
+        while is_open(first):  # noqa: ASYNC110  # no event tells that a connection is lost
+            await asyncio.sleep(0)
+        client.add_to_counter(make_add_action(8))  # queued until it is open again
+        await counter.until_replies(1)
+        assert counter.outcomes == [Outcome.OK]
+        assert len(server.calls) == 1
