Keep counter calls in order through two changes of address within one call

Callers: a customer's units could be granted twice, or denied, by totals that were matched to the wrong call. Cause: a replacement that was itself replaced while it waited for its predecessor counted as drained, as it had written nothing, so its successor wrote while calls of the first connection were in flight. Change: a connection has drained once its predecessor has, too; it passes that on to its successor. Test: test_calls_keep_their_order_through_two_moves_within_a_call; before, the second address got the call at once.

--- a/gateway/counter/connection.py
+++ b/gateway/counter/connection.py
@@ -147,9 +147,10 @@
         self._predecessor = predecessor
 
     def _close_when_drained(self) -> None:
-        """Close a replaced connection once all its written calls are settled."""
+        """Close a replaced connection once all calls written on it and on its predecessor are settled."""
         successor = self._successor
-        if successor is not None and self.pipeline.is_drained:
+        is_drained = self._predecessor is None and self.pipeline.is_drained
+        if successor is not None and is_drained:
             self._successor = None
             self.abort()
             successor.predecessor_drained()
@@ -158,6 +159,7 @@
         """Write the calls that were queued while the predecessor was draining."""
         self._predecessor = None
         self._write_queued_calls()
+        self._close_when_drained()
 
     def connect(self) -> None:
         """Start an attempt to connect if disconnected and still used by the owner."""
--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -99,3 +99,29 @@
         await counter.until_replies(1)
         assert counter.outcomes == [Outcome.OK]
         assert len(server.calls) == 1
+
+
+# Guards against replies out of order: the second replacement must not write while calls of the first
+# connection, which it does not replace directly, are in flight.
+@async_test
+async def test_calls_keep_their_order_through_two_moves_within_a_call() -> None:
+    gate = asyncio.Event()
+    old_server = FakeCounter()
+    new_servers = [FakeCounter(), FakeCounter()]
+    async with (
+        listening(new_servers[0].handle) as first_address,
+        listening(new_servers[1].handle) as second_address,
+        counter_client_for(gated_handler(old_server, gate), LONG_TIMEOUT_SECONDS) as counter,
+    ):
+        client = counter.client
+        await counter.until_open()
+        client.add_to_counter(make_add_action(8, 5.0))
+        for address in (first_address, second_address):
+            client.change_address(parse_address(address))
+            await counter.until_moved()
+        client.add_to_counter(make_add_action(8, 7.0))
+        await asyncio.sleep(0.02)
+        assert not new_servers[1].calls
+        gate.set()
+        await counter.until_replies(2)
+        assert [reply.total for reply in counter.replies] == [5.0, 7.0]
