Skip an endpoint with an infinite number or a name that cannot be encoded alone

Cause: int() of Infinity and float() of a huge number raise OverflowError, which _read_field did not expect, and the name was encoded outside of it. Infinity and NaN were accepted as a start time and a weight. Change: OverflowError makes a field malformed, start time and weight have to be finite, and a name is checked as it is read. An infinite version makes the update malformed. Tests: test_a_malformed_endpoint_is_skipped_alone, test_an_infinite_version_is_malformed and four cases of the test of errors failed before.

--- a/gateway/discovery/endpoint_decoder.py
+++ b/gateway/discovery/endpoint_decoder.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import math
 import reprlib
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
@@ -139,15 +140,15 @@
         if not isinstance(raw, dict):
             raise MalformedEndpointError(f"expected an object, got {reprlib.repr(raw)}")
         state = _read_field(raw, keys.STATE, keys.STATE_BY_HEALTH.__getitem__)
-        endpoint_id = self._register_host_name(_read_field(raw, keys.ENDPOINT_NAME, str))
+        endpoint_id = self._register_host_name(_read_field(raw, keys.ENDPOINT_NAME, _host_name))
         record = EndpointRecord(
             endpoint_id=endpoint_id,
             zone=_read_field(raw, keys.ZONE, self._zone_index),
-            started_at=_read_field(raw, keys.STARTED_AT_MILLISECONDS, float) / MILLISECONDS_PER_SECOND,
+            started_at=_read_field(raw, keys.STARTED_AT_MILLISECONDS, _finite) / MILLISECONDS_PER_SECOND,
             state=state,
             machine_type=_read_field(raw, keys.MACHINE_TYPE, self._machine_type_index),
             cell=_read_field(raw, keys.CELL, int),
-            weight=_read_field(raw, keys.WEIGHT, float),
+            weight=_read_field(raw, keys.WEIGHT, _finite),
         )
         return DecodedEndpoint(record, _read_field(raw, keys.ADDRESS, parse_address))
 
@@ -165,6 +166,21 @@
         return endpoint_id
 
 
+def _finite(value: Any) -> float:
+    """Convert to a finite number: JSON texts may contain Infinity and NaN."""
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError("not finite")
+    return number
+
+
+def _host_name(value: Any) -> str:
+    """Convert to a text that can be encoded: JSON texts may contain single surrogates."""
+    name = str(value)
+    name.encode()
+    return name
+
+
 def _update_kind(raw: dict[str, Any], *, cached: bool) -> UpdateKind:
     if cached:
         return UpdateKind.CACHED
@@ -174,7 +190,7 @@
 def _update_version(raw: dict[str, Any]) -> int:
     try:
         return int(raw[keys.VERSION])
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, OverflowError):
         value = reprlib.repr(raw.get(keys.VERSION))
         raise MalformedUpdateError(f"{keys.VERSION} is not a version number: {value}") from None
 
@@ -185,7 +201,7 @@
         raise MalformedEndpointError(f"host {_quoted_host_name(raw)} has no {key}")
     try:
         return convert(raw[key])
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         value = reprlib.repr(raw[key])
         raise MalformedEndpointError(
             f"host {_quoted_host_name(raw)} has an invalid {key}: {value}"
--- a/tests/discovery/test_endpoint_decoder.py
+++ b/tests/discovery/test_endpoint_decoder.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+import math
+import reprlib
 from typing import Any
 
 import pytest
@@ -52,6 +55,26 @@
     assert addresses == {7: Address("127.0.0.1", 81)}
 
 
+# Guards against one record that makes the gateway drop an update with all its endpoints.
+@pytest.mark.parametrize(
+    "malformed",
+    [
+        pytest.param({"block": math.inf}, id="infinite cell"),
+        pytest.param({"host": "s-\ud800"}, id="name that cannot be encoded"),
+    ],
+)
+def test_a_malformed_endpoint_is_skipped_alone(malformed: dict[str, Any], decoder: EndpointDecoder) -> None:
+    hosts = [FIRST_ENDPOINT, host_entry("s-00000008", "127.0.0.1:82") | malformed]
+    document = json.dumps({"seq": 1, "whole": True, "hosts": hosts}).encode()
+    update, _ = decoder.decode_document(document)
+    assert [record.endpoint_id for record in update.records] == [FIRST_ENDPOINT_ID]
+
+
+def test_an_infinite_version_is_malformed(decoder: EndpointDecoder) -> None:
+    with pytest.raises(MalformedUpdateError, match="seq is not a version number: inf"):
+        decoder.decode_update({"seq": math.inf, "whole": True, "hosts": [FIRST_ENDPOINT]})
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [
@@ -62,6 +85,10 @@
         pytest.param("block", None, id="cell"),
         pytest.param("share", [], id="weight"),
         pytest.param("dial", "127.0.0.1", id="address"),
+        pytest.param("block", math.inf, id="infinite cell"),
+        pytest.param("share", math.inf, id="infinite weight"),
+        pytest.param("share", 10**400, id="huge weight"),
+        pytest.param("born_ms", math.nan, id="start that is not a number"),
     ],
 )
 def test_errors_name_the_malformed_field_and_its_value(
@@ -69,5 +96,5 @@
 ) -> None:
     with pytest.raises(MalformedEndpointError) as raised:
         decoder.decode_record(FIRST_ENDPOINT | {field: value})
-    assert str(raised.value) == f"host 's-00000007' has an invalid {field}: {value!r}"
+    assert str(raised.value) == f"host 's-00000007' has an invalid {field}: {reprlib.repr(value)}"
     assert isinstance(raised.value, DiscoveryError)
