Reject a configuration with huge or infinite numbers in one line

Callers: such a configuration ended the start with a traceback, and a fleet of 2**70 gateways kept it computing until the memory was used up. Cause: OverflowError and RecursionError were not expected, and the number of gateways had no bound. Change: both errors become ConfigError; descriptors, memory and gateways have an upper bound far above any use.

--- a/gateway/config/parser.py
+++ b/gateway/config/parser.py
@@ -20,7 +20,9 @@
     from gateway.policy.settings import Settings
 
 MIN_SOCKETS = 64  # with fewer, almost none remain after RESERVED_SOCKETS
+MAX_SOCKETS = 1 << 20  # the most that a process may have on common systems
 MIN_MEMORY_MEGABYTES = 16.0
+MAX_MEMORY_MEGABYTES = float(1 << 30)
 
 
 def load_config(env: Mapping[str, str], *, is_reload: bool = False) -> Config:
@@ -111,13 +113,13 @@
 def _resource_limits(limits: ConfigSection) -> ResourceLimits:
     sockets = limits.required(keys.MAX_SOCKETS, int)
     memory_mb = limits.required(keys.MEMORY_MEGABYTES, float)
-    if sockets < MIN_SOCKETS:
+    if not MIN_SOCKETS <= sockets <= MAX_SOCKETS:
         path = f"{keys.LIMITS}.{keys.MAX_SOCKETS}"
-        raise InvalidValueError(path, f"must be at least {MIN_SOCKETS}, got {sockets}")
-    if not MIN_MEMORY_MEGABYTES <= memory_mb < float("inf"):
+        raise InvalidValueError(path, f"must be from {MIN_SOCKETS} to {MAX_SOCKETS}, got {sockets}")
+    if not MIN_MEMORY_MEGABYTES <= memory_mb <= MAX_MEMORY_MEGABYTES:
         path = f"{keys.LIMITS}.{keys.MEMORY_MEGABYTES}"
         raise InvalidValueError(
-            path, f"must be finite and at least {MIN_MEMORY_MEGABYTES:g}, got {memory_mb:g}"
+            path, f"must be from {MIN_MEMORY_MEGABYTES:g} to {MAX_MEMORY_MEGABYTES:g}, got {memory_mb:g}"
         )
     return ResourceLimits.from_process_limits(sockets, memory_mb)
 
--- a/gateway/config/section.py
+++ b/gateway/config/section.py
@@ -39,7 +39,7 @@
         """
         try:
             return convert(value)
-        except (TypeError, ValueError) as error:
+        except (TypeError, ValueError, OverflowError) as error:
             raise InvalidValueError(self._path + key, error) from None
 
     def subsection(self, key: str) -> ConfigSection:
@@ -70,5 +70,5 @@
     """
     try:
         return ConfigSection(check_object(json.loads(text)))
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError, RecursionError) as error:
         raise ConfigError(f"cannot parse the configuration file: {error}") from None
--- a/gateway/settings_parser.py
+++ b/gateway/settings_parser.py
@@ -4,8 +4,9 @@
 
 from gateway import settings_keys as keys
 from gateway.policy.settings import DedupScope, Effect, Limits, Plan, RequestClass, Rules, Settings
-from gateway.settings_reader import SettingsReader
+from gateway.settings_reader import SettingsError, SettingsReader
 
+MAX_GATEWAYS = 100_000  # the choice of a subset takes time in proportion to their number
 SILENT = "silent"  # default value of REPORT_MODE and WEIGHT_SOURCE
 
 
@@ -22,7 +23,7 @@
     has_counter = reader.boolean(keys.HAS_COUNTER, default=False)
     return Settings(
         gateway_index=reader.integer(keys.GATEWAY_INDEX),
-        gateway_count=reader.integer(keys.GATEWAY_COUNT),
+        gateway_count=_parse_gateway_count(reader),
         zone=reader.integer(keys.ZONE),
         zones=reader.names(keys.ZONES),
         period=reader.number(keys.PERIOD),
@@ -42,6 +43,13 @@
     )
 
 
+def _parse_gateway_count(reader: SettingsReader) -> int:
+    count = reader.integer(keys.GATEWAY_COUNT)
+    if count > MAX_GATEWAYS:
+        raise SettingsError(keys.GATEWAY_COUNT, str(count), f"at most {MAX_GATEWAYS}")
+    return count
+
+
 def _parse_rules(reader: SettingsReader) -> Rules:
     return Rules(
         answer_slack=reader.number(keys.ANSWER_SLACK),
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -17,6 +17,8 @@
 from tests.support.gateway import config_text, config_without
 from tests.support.policy import settings_text
 
+HUGE = 10**400  # exceeds the largest floating-point number
+
 
 def test_nested_settings_equal_those_of_the_settings_text() -> None:
     config = parse_config(config_text([], "127.0.0.1:6400", report__columns="latency_ms,util"), {})
@@ -56,6 +58,12 @@
         pytest.param(config_text([], rules__warm_up_s="soon"), id="malformed setting"),
         pytest.param(config_text([], discovery="nowhere"), id="malformed address"),
         pytest.param(config_text([]).replace('"sockets": 1024', '"sockets": 10'), id="too few sockets"),
+        pytest.param(config_text([]).replace('"sockets": 1024', '"sockets": Infinity'), id="infinite sockets"),
+        pytest.param(config_text([]).replace('"sockets": 1024', f'"sockets": {HUGE}'), id="huge sockets"),
+        pytest.param(config_text([]).replace('"memory_mb": 192', f'"memory_mb": {HUGE}'), id="huge memory"),
+        pytest.param(config_text([], caps__conn_idle_s=f"1{'0' * 5000}x"), id="malformed idle time"),
+        pytest.param("[" * 100_000, id="nested too deeply"),
+        pytest.param(config_text([], peers_total=str(2**70)), id="huge fleet"),
     ],
 )
 def test_malformed_configuration_is_rejected(malformed: str) -> None:
