--- a/gateway/settings_parser.py
+++ b/gateway/settings_parser.py
@@ -86,7 +86,7 @@
 
 def _parse_class(reader: SettingsReader, prefix: str) -> RequestClass:
     return RequestClass(
-        name=reader.text(prefix + keys.CLASS_NAME),
+        name=reader.name(prefix + keys.CLASS_NAME),
         latency_objective=reader.number(prefix + keys.CLASS_LATENCY_OBJECTIVE),
         deadline=reader.number(prefix + keys.CLASS_DEADLINE),
         effect=reader.member(Effect, prefix + keys.CLASS_EFFECT),
@@ -110,7 +110,7 @@
 
 def _parse_plan(reader: SettingsReader, prefix: str) -> Plan:
     return Plan(
-        name=reader.text(prefix + keys.PLAN_NAME),
+        name=reader.name(prefix + keys.PLAN_NAME),
         rate=reader.number(prefix + keys.PLAN_RATE, 0.0),
         burst=reader.number(prefix + keys.PLAN_BURST, 0.0),
         max_concurrency=reader.integer(prefix + keys.PLAN_MAX_CONCURRENCY, 0),
--- a/gateway/settings_reader.py
+++ b/gateway/settings_reader.py
@@ -49,6 +49,15 @@
             raise SettingsError(key)
         return value
 
+    def name(self, key: str) -> str:
+        """Return the value as a name that can be sent in a header."""
+        value = self.text(key)
+        try:
+            value.encode()
+        except UnicodeEncodeError:
+            raise SettingsError(key, value, "a text that can be encoded") from None
+        return value
+
     def number(self, key: str, default: float | None = None) -> float:
         """Return the value as a finite number."""
         default_text = None if default is None else repr(default)
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -58,12 +58,13 @@
         pytest.param(config_text([], rules__warm_up_s="soon"), id="malformed setting"),
         pytest.param(config_text([], discovery="nowhere"), id="malformed address"),
         pytest.param(config_text([]).replace('"sockets": 1024', '"sockets": 10'), id="too few sockets"),
-        pytest.param(config_text([]).replace('"sockets": 1024', '"sockets": Infinity'), id="infinite sockets"),
+        pytest.param(config_text([]).replace('"sockets": 1024', '"sockets": Infinity'), id="infinite"),
         pytest.param(config_text([]).replace('"sockets": 1024', f'"sockets": {HUGE}'), id="huge sockets"),
         pytest.param(config_text([]).replace('"memory_mb": 192', f'"memory_mb": {HUGE}'), id="huge memory"),
         pytest.param(config_text([], caps__conn_idle_s=f"1{'0' * 5000}x"), id="malformed idle time"),
         pytest.param("[" * 100_000, id="nested too deeply"),
         pytest.param(config_text([], peers_total=str(2**70)), id="huge fleet"),
+        pytest.param(config_text([], classes__0__name="\ud800"), id="name that cannot be encoded"),
     ],
 )
 def test_malformed_configuration_is_rejected(malformed: str) -> None:
