Make two checks of the policy's tests check what they say

Cause: assert not run_event(...)[0:0] always held, as the slice is empty; caps.probes, which two tests set to turn probes off, is no key. Change: the first asserts that no attempt was started, as strict as its text; the key is caps.may_probe.

--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -64,7 +64,7 @@
     limiter = policy.counter_rate_limiter
     limiter.call_tokens.reset(0.0, START)
     limiter.rate = 1.0
-    assert not run_event(policy, counter, START, make_request(1))[0:0]
+    assert not started_attempts(run_event(policy, counter, START, make_request(1)))
     assert not counter.calls
     assert not started_attempts(run_event(policy, counter, START, TimerFired(1)))
     limiter.call_tokens.tokens = 5.0
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -143,7 +143,7 @@
         self.quotas = make_quotas()
         self.forwarded = 0
         self.gateways = [
-            make_policy((), index, me=str(index), peers_total=str(GATEWAY_COUNT), caps__probes="false")
+            make_policy((), index, me=str(index), peers_total=str(GATEWAY_COUNT), caps__may_probe="false")
             for index in range(GATEWAY_COUNT)
         ]
 
--- a/tests/policy/test_local_admission.py
+++ b/tests/policy/test_local_admission.py
@@ -35,7 +35,7 @@
 
     Before that, it replies to lease requests of 40 other customers; their totals start at `initial_total`.
     """
-    policy = make_policy(peers_total="100", caps__probes="false")
+    policy = make_policy(peers_total="100", caps__may_probe="false")
     counter = PreloadedCounter()
     counter.initial_total = initial_total
     for customer in range(1000, 1040):
