Keep no host names of endpoints that are skipped as malformed

Cause: the name was registered before the other fields were read, and a skipped endpoint is never removed. Change: the name is registered once all fields are valid. Test: test_host_names_of_malformed_endpoints_are_not_kept failed before with 50 names.

--- a/gateway/discovery/endpoint_decoder.py
+++ b/gateway/discovery/endpoint_decoder.py
@@ -140,9 +140,9 @@
         if not isinstance(raw, dict):
             raise MalformedEndpointError(f"expected an object, got {reprlib.repr(raw)}")
         state = _read_field(raw, keys.STATE, keys.STATE_BY_HEALTH.__getitem__)
-        endpoint_id = self._register_host_name(_read_field(raw, keys.ENDPOINT_NAME, _host_name))
+        name = _read_field(raw, keys.ENDPOINT_NAME, _host_name)
         record = EndpointRecord(
-            endpoint_id=endpoint_id,
+            endpoint_id=derive_endpoint_id(name),
             zone=_read_field(raw, keys.ZONE, self._zone_index),
             started_at=_read_field(raw, keys.STARTED_AT_MILLISECONDS, _finite) / MILLISECONDS_PER_SECOND,
             state=state,
@@ -150,7 +150,9 @@
             cell=_read_field(raw, keys.CELL, int),
             weight=_read_field(raw, keys.WEIGHT, _finite),
         )
-        return DecodedEndpoint(record, _read_field(raw, keys.ADDRESS, parse_address))
+        address = _read_field(raw, keys.ADDRESS, parse_address)
+        self._register_host_name(record.endpoint_id, name)  # last: a malformed endpoint is not kept
+        return DecodedEndpoint(record, address)
 
     def _zone_index(self, name: Any) -> int:
         return self.zones[format_setting(name)]
@@ -158,12 +160,10 @@
     def _machine_type_index(self, name: Any) -> int:
         return self.machine_types[format_setting(name)]
 
-    def _register_host_name(self, name: str) -> int:
-        endpoint_id = derive_endpoint_id(name)
+    def _register_host_name(self, endpoint_id: int, name: str) -> None:
         registered_name = self.host_names.setdefault(endpoint_id, name)
         if registered_name != name:
             raise MalformedEndpointError(f"host {name!r} has the same endpoint id as {registered_name!r}")
-        return endpoint_id
 
 
 def _finite(value: Any) -> float:
--- a/tests/discovery/test_endpoint_decoder.py
+++ b/tests/discovery/test_endpoint_decoder.py
@@ -45,6 +45,14 @@
     assert decoder.host_names == {}
 
 
+# Guards against unbounded memory while an agent sends endpoints that cannot be read.
+def test_host_names_of_malformed_endpoints_are_not_kept(decoder: EndpointDecoder) -> None:
+    for number in range(50):
+        entry = host_entry(f"s-{number:08x}", "127.0.0.1")
+        decoder.decode_update({"seq": number, "whole": False, "hosts": [entry]})
+    assert decoder.host_names == {}
+
+
 def test_a_host_name_with_the_id_of_another_is_skipped(
     decoder: EndpointDecoder, monkeypatch: pytest.MonkeyPatch
 ) -> None:
