--- a/scaletest/soak/runner.py
+++ b/scaletest/soak/runner.py
@@ -177,7 +177,8 @@
     def _publish(self, hosts: list[dict[str, Any]]) -> None:
         self._command_discovery(Publish(hosts))
 
-    def _command_discovery(self, command: faulty_discovery.Command) -> None:
+    def _command_discovery(self, action: Publish | SetDiscoveryFault) -> None:
+        command = faulty_discovery.Command(action)
         self.discovery.write_line(faulty_discovery.COMMAND.dump_json(command).decode())
 
     def _set_gateway(self, gateway: GatewayRunner, state: GatewayState) -> None:
--- a/testbed/faulty_discovery.py
+++ b/testbed/faulty_discovery.py
@@ -1,6 +1,6 @@
 """A discovery agent at two addresses whose faults are switched on and off from outside, in its own process.
 
-Run as `python -m testbed.faulty_discovery`.  It prints both ports as JSON and takes commands of the types in
+Run as `python -m testbed.faulty_discovery`.  It prints both ports as JSON and takes lines of the type
 `Command`.
 """
 
@@ -51,8 +51,14 @@
     kind: Literal["fault"] = "fault"
 
 
-Command = Publish | SetDiscoveryFault
-COMMAND: TypeAdapter[Command] = TypeAdapter(Command)  # type: ignore[arg-type]  # a union has no type object
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A line of standard input."""
+
+    action: Publish | SetDiscoveryFault
+
+
+COMMAND = TypeAdapter(Command)
 
 
 class Agent:
@@ -78,11 +84,11 @@
 
     def handle_command(self, line: str) -> None:
         """Execute a command."""
-        command = COMMAND.validate_json(line)
-        if isinstance(command, Publish):
-            self.deltas.append(command.hosts)
+        action = COMMAND.validate_json(line).action
+        if isinstance(action, Publish):
+            self.deltas.append(action.hosts)
         else:
-            self.fault = command.fault
+            self.fault = action.fault
 
     def snapshot(self, version: int) -> bytes:
         """Return the whole list as of a version; endpoints that are gone are left out."""
