Record stalls of the soak's endpoints, and when an outright kill has ended a process

Change: the endpoints record when their loop did not run, and an arrival read right after counts from its start; a planned kill excuses requests until the process has ended. The summary shows the longest stall. Tests: one with and without such a stall, one before and after the end of a killed process.

--- a/scaletest/soak/command.py
+++ b/scaletest/soak/command.py
@@ -39,10 +39,12 @@
     ends = Counter(request.end.value for request in soak.load.requests)
     statuses = Counter(request.status for request in soak.load.requests if request.status)
     memory = max((sample.memory_mb for process in soak.processes for sample in process.samples), default=0.0)
+    stall = max((stall.ended_at - stall.started_at for stall in soak.endpoints.stalls), default=0.0)
     result = "passed" if not violations else f"FAILED, {len(violations)} violations"
     return (
         f"seed {soak.script.seed}: {result}; requests {dict(sorted(ends.items()))}, "
-        f"statuses {dict(sorted(statuses.items()))}, {len(soak.processes)} processes, {memory:.1f} MB"
+        f"statuses {dict(sorted(statuses.items()))}, {len(soak.processes)} processes, {memory:.1f} MB, "
+        f"longest stall of the endpoints {stall:.3f} s"
     )
 
 
--- a/scaletest/soak/judge.py
+++ b/scaletest/soak/judge.py
@@ -23,6 +23,7 @@
 ANSWER_GRACE_SECONDS = 0.5  # after its timeout, a request may still be answered
 DISCONNECT_SECONDS = 0.1  # after its client has left, until when an attempt may begin
 ALLOWED_LATE_ATTEMPTS = 2  # in a run
+STALL_READ_SECONDS = 0.05  # after a stall of the endpoints, until all that arrived during it is read
 READY_SECONDS = 10.0  # within which nine in ten restarted processes are ready
 SLOW_START_FRACTION = 0.1
 WARM_UP_SECONDS = 20.0  # of a process, before its memory is compared
@@ -62,7 +63,7 @@
 
 def _arrivals_by_request(soak: SoakRecord) -> dict[str, list[Arrival]]:
     arrivals: dict[str, list[Arrival]] = defaultdict(list)
-    for arrival in soak.arrivals:
+    for arrival in soak.endpoints.arrivals:
         arrivals[arrival.request_id].append(arrival)
     return arrivals
 
@@ -120,11 +121,12 @@
 
 
 def _is_excused(request: RequestRecord, soak: SoakRecord) -> bool:
-    """Return whether the gateway was killed outright while the request was open."""
+    """Return whether the gateway was killed outright, and had not ended, while the request was open."""
     return any(
         process.gateway == request.gateway
         and process.is_planned_kill
-        and request.sent_at - SOCKET_SLACK_SECONDS <= process.killed_at <= request.ended_at
+        and request.sent_at <= process.ended_at
+        and process.killed_at <= request.ended_at
         for process in soak.processes
     )
 
@@ -143,11 +145,19 @@
         for request in soak.load.requests
         if request.end is RequestEnd.LEFT
         for arrival in arrivals[request.request_id]
-        if arrival.at - request.ended_at > limit
+        if _earliest_time(arrival, soak) - request.ended_at > limit
     ]
     return late if len(late) > ALLOWED_LATE_ATTEMPTS else []
 
 
+def _earliest_time(arrival: Arrival, soak: SoakRecord) -> float:
+    """Return when a request may have arrived: one that is read just after a stall may have come during it."""
+    for stall in soak.endpoints.stalls:
+        if stall.started_at <= arrival.at <= stall.ended_at + STALL_READ_SECONDS:
+            return stall.started_at
+    return arrival.at
+
+
 def _judge_executions(soak: SoakRecord) -> Iterator[Violation]:
     """Yield non-idempotent requests with an attempt after one that may have run."""
     arrivals = _arrivals_by_request(soak)
--- a/scaletest/soak/runner.py
+++ b/scaletest/soak/runner.py
@@ -30,7 +30,7 @@
 from testbed.fake_server import LOOPBACK
 from testbed.faulty_counter import CounterFault
 from testbed.faulty_discovery import DiscoveryFault, Publish, SetDiscoveryFault
-from testbed.faulty_endpoints import ARRIVALS, Arrival, EndpointFault, SetEndpointFault
+from testbed.faulty_endpoints import EndpointFault, EndpointReport, SetEndpointFault
 from testbed.idle_clients import IdleClientProcess
 
 if TYPE_CHECKING:
@@ -59,13 +59,13 @@
     Attributes:
         script: The script.
         load: What the clients have seen.
-        arrivals: What the endpoints have received.
+        endpoints: What the endpoints have received.
         processes: All gateway processes.
     """
 
     script: Script
     load: LoadReport
-    arrivals: list[Arrival]
+    endpoints: EndpointReport
     processes: list[ProcessRecord]
 
 
@@ -161,9 +161,9 @@
                 gateway.send_signal(signal.SIGTERM)
         await asyncio.gather(*(gateway.wait_or_kill() for gateway in self.gateways))
         self.endpoints.write_line(faulty_endpoints.REPORT_COMMAND)
-        arrivals = ARRIVALS.validate_json(await self.endpoints.read_line())
+        received = faulty_endpoints.REPORT.validate_json(await self.endpoints.read_line())
         processes = [record for gateway in self.gateways for record in gateway.records]
-        return SoakRecord(self.script, load, arrivals, processes)
+        return SoakRecord(self.script, load, received, processes)
 
     def _listed_endpoints(self) -> list[int]:
         count = self.script.endpoints + self.script.lists_unaccepting_endpoint
--- a/testbed/faulty_endpoints.py
+++ b/testbed/faulty_endpoints.py
@@ -25,6 +25,8 @@
 
 MEAN_SERVICE_SECONDS = 0.02
 DUPLICATE_DELAY_SECONDS = 0.004  # between a response and its duplicate
+STALL_CHECK_SECONDS = 0.005
+MIN_STALL_SECONDS = 0.02
 REPORT_COMMAND = "report"
 
 
@@ -68,8 +70,29 @@
     may_run: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """A time in which the process of the endpoints did not run, so that arrivals in it are recorded late.
+
+    Attributes:
+        started_at: Monotonic time in seconds.
+        ended_at: Monotonic time in seconds.
+    """
+
+    started_at: float
+    ended_at: float
+
+
+@dataclass(slots=True)
+class EndpointReport:
+    """What the endpoints have received, and when they were stalled."""
+
+    arrivals: list[Arrival] = field(default_factory=list)
+    stalls: list[Stall] = field(default_factory=list)
+
+
 COMMAND = TypeAdapter(SetEndpointFault)
-ARRIVALS = TypeAdapter(list[Arrival])
+REPORT = TypeAdapter(EndpointReport)
 PORTS = TypeAdapter(list[int])
 
 
@@ -80,12 +103,12 @@
     Attributes:
         random: Draws service times.
         faults: The fault of each endpoint.
-        arrivals: All requests received so far.
+        report: What was recorded so far.
     """
 
     random: random.Random
     faults: list[EndpointFault]
-    arrivals: list[Arrival] = field(default_factory=list)
+    report: EndpointReport = field(default_factory=EndpointReport)
 
     async def serve(self) -> None:
         """Serve requests and commands until the end of standard input."""
@@ -97,12 +120,23 @@
         unaccepting = listen_without_accepting()
         ports.append(unaccepting.getsockname()[1])
         print(PORTS.dump_json(ports).decode(), flush=True)  # noqa: T201
+        watcher = asyncio.create_task(self.record_stalls())
         await serve_commands(self.handle)
+        watcher.cancel()
+
+    async def record_stalls(self) -> None:
+        """Record each time in which the event loop did not run."""
+        while True:
+            started_at = time.monotonic()
+            await asyncio.sleep(STALL_CHECK_SECONDS)
+            ended_at = time.monotonic()
+            if ended_at - started_at > MIN_STALL_SECONDS:
+                self.report.stalls.append(Stall(started_at, ended_at))
 
     def handle(self, line: str) -> str | None:
         """Execute a command."""
         if line == REPORT_COMMAND:
-            return ARRIVALS.dump_json(self.arrivals).decode()
+            return REPORT.dump_json(self.report).decode()
         command = COMMAND.validate_json(line)
         self.faults[command.endpoint] = command.fault
         return None
@@ -153,7 +187,7 @@
             return
         fault = self.group.faults[self.index]
         may_run = fault not in FAULTS_WITHOUT_EXECUTION
-        self.group.arrivals.append(Arrival(self.request_id, self.index, time.monotonic(), may_run))
+        self.group.report.arrivals.append(Arrival(self.request_id, self.index, time.monotonic(), may_run))
         delay = self.group.random.expovariate(1 / MEAN_SERVICE_SECONDS)
         asyncio.get_running_loop().call_later(delay, self.respond, fault, self.request_id.encode())
 
--- a/tests/scaletest/test_soak.py
+++ b/tests/scaletest/test_soak.py
@@ -21,7 +21,7 @@
 )
 from scaletest.soak.runner import SoakRecord
 from scaletest.soak.script import Script, SignalEvent, draw_script
-from testbed.faulty_endpoints import Arrival
+from testbed.faulty_endpoints import Arrival, EndpointReport, Stall
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -77,7 +77,7 @@
     process.status = 0
     process.samples = [ResourceSample(float(age), 30.0, 50) for age in range(200)]
     arrival = Arrival(REQUEST_ID, 2, SENT_AT, may_run=True)
-    return SoakRecord(script, LoadReport([request]), [arrival], [process])
+    return SoakRecord(script, LoadReport([request]), EndpointReport([arrival]), [process])
 
 
 def rules(soak: SoakRecord) -> list[str]:
@@ -111,18 +111,18 @@
 def close_new_connection(soak: SoakRecord) -> None:
     soak.load.requests[0].end = RequestEnd.CLOSED
     soak.load.requests[0].is_first = True
-    soak.arrivals.clear()
+    soak.endpoints.arrivals.clear()
 
 
 def execute_twice(soak: SoakRecord) -> None:
-    soak.arrivals.append(replace(soak.arrivals[0], endpoint=3))
+    soak.endpoints.arrivals.append(replace(soak.endpoints.arrivals[0], endpoint=3))
 
 
 def attempt_after_clients_left(soak: SoakRecord) -> None:
     soak.load.requests[0].end = RequestEnd.LEFT
     soak.load.requests[0].request_class = RequestClass.IDEMPOTENT
-    late = replace(soak.arrivals[0], at=soak.load.requests[0].ended_at + 0.16)
-    soak.arrivals[:] = [late] * 3
+    late = replace(soak.endpoints.arrivals[0], at=soak.load.requests[0].ended_at + 0.16)
+    soak.endpoints.arrivals[:] = [late] * 3
 
 
 def end_by_itself(soak: SoakRecord) -> None:
@@ -183,7 +183,18 @@
 def test_the_third_late_attempt_is_a_violation(soak: SoakRecord) -> None:
     attempt_after_clients_left(soak)
     assert rules(soak) == ["client gone"] * 3
-    soak.arrivals.pop()
+    soak.endpoints.arrivals.pop()
+    assert rules(soak) == []
+
+
+# Guards against a stall of the endpoints that is taken for a late attempt.
+def test_an_attempt_that_arrives_during_a_stall_of_the_endpoints_is_not_late(soak: SoakRecord) -> None:
+    attempt_after_clients_left(soak)
+    late_at = soak.endpoints.arrivals[0].at
+    soak.endpoints.stalls.append(Stall(late_at - 0.005, late_at))
+    assert rules(soak) == ["client gone"] * 3
+    soak.endpoints.stalls.append(Stall(late_at - 0.05, late_at))
+    soak.endpoints.stalls.reverse()
     assert rules(soak) == []
 
 
@@ -193,9 +204,9 @@
     again = replace(request, is_resent=True, sent_at=SENT_AT + 0.01)
     request.end = RequestEnd.CLOSED
     soak.load.requests.append(again)
-    soak.arrivals[:] = [replace(soak.arrivals[0], at=SENT_AT + 0.02)]
+    soak.endpoints.arrivals[:] = [replace(soak.endpoints.arrivals[0], at=SENT_AT + 0.02)]
     assert rules(soak) == []
-    soak.arrivals[:] = [replace(soak.arrivals[0], at=SENT_AT + 0.005)]
+    soak.endpoints.arrivals[:] = [replace(soak.endpoints.arrivals[0], at=SENT_AT + 0.005)]
     assert rules(soak) == ["answer"]
 
 
@@ -203,12 +214,16 @@
 # cross its close.
 def test_what_the_pages_allow_is_no_violation(soak: SoakRecord) -> None:
     soak.load.requests[0].end = RequestEnd.CLOSED
-    soak.arrivals.clear()
+    soak.endpoints.arrivals.clear()
     assert rules(soak) == []
     soak.load.requests[0].is_first = True
     soak.processes[0].is_planned_kill = True
     soak.processes[0].killed_at = SENT_AT + 0.05
     assert rules(soak) == []
+    soak.processes[0].killed_at = SENT_AT - 0.05  # the system needs some time to end the process
+    assert rules(soak) == []
+    soak.processes[0].ended_at = SENT_AT - 0.01
+    assert rules(soak) == ["answer"]
 
 
 # Guards against each broken rule above, with real processes; `python -m scaletest soak` runs other seeds.
