Do not fail an attempt to connect whose connection was made and lost already

On loopback sockets the gateway logged an AssertionError, kept one socket to the counter open and unread for each event, until the process ended, and failed the calls of a fourth of the customers until the next attempt. Cause: reports a connection as lost if its connect timeout passes as it is made. If the connection was also reset in that turn of the event loop, uvloop has called connection_lost before the timeout is raised, and the counter connection has begun its next attempt. connect() took a protocol without a transport for one that was never made and raised; the next attempt then counted as failed, and DISCONNECTED to OPEN was asserted against as it opened. Evidence: four connections reset by their server while the loop stalls past the timeout: five sockets open at the server and that AssertionError before, four and none after. Change: the base of outgoing protocols records that a connection was made, and connect() raises only if it never was. Tests: the two new ones failed before, with the TimeoutError and with the AssertionError.

--- a/gateway/connector.py
+++ b/gateway/connector.py
@@ -10,9 +10,20 @@
 
 
 class OutgoingProtocol(asyncio.Protocol):
-    """Base of the protocols of outgoing connections."""
+    """Base of the protocols of outgoing connections; each object serves one connection.
 
-    __slots__ = ()
+    Attributes:
+        was_made: Whether `connection_made` was called.
+    """
+
+    __slots__ = ("was_made",)
+
+    def __init__(self) -> None:
+        self.was_made = False
+
+    def connection_made(self, _transport: asyncio.BaseTransport) -> None:
+        """Record that the connection was made; a method that overrides this one calls it."""
+        self.was_made = True
 
     @property
     def has_transport(self) -> bool:
@@ -27,19 +38,21 @@
 
     If the timeout passes, or the task is cancelled, while the event loop reports the connection as made,
     uvloop closes the transport and never calls `connection_lost`.  It is then called here, so that a
-    protocol that was told of its connection is always told of its end.
+    protocol that was told of its connection is always told of its end.  A connection that was made is
+    never reported as failed, also if it was lost before the timeout took effect.
 
     Raises:
-        OSError: The connection failed.
+        OSError: The connection failed before it was made.
         TimeoutError: The timeout passed before the connection was made.
     """
     try:
         async with asyncio.timeout(timeout_seconds):
             await loop.create_connection(lambda: protocol, address.host, address.port)
     except (OSError, TimeoutError) as error:
-        if not protocol.has_transport:
+        if not protocol.was_made:
             raise
-        protocol.connection_lost(error)
+        if protocol.has_transport:
+            protocol.connection_lost(error)
     except asyncio.CancelledError:
         if protocol.has_transport:
             protocol.connection_lost(None)
--- a/gateway/counter/transport.py
+++ b/gateway/counter/transport.py
@@ -36,6 +36,7 @@
     """
 
     def __init__(self, observer: TransportObserver) -> None:
+        super().__init__()
         self.has_unsent_bytes = False
         self._observer: TransportObserver | None = observer
         self._transport: asyncio.Transport | None = None
@@ -67,6 +68,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Notify the observer that the transport is open; close it if it was discarded before."""
+        super().connection_made(transport)
         self._transport = cast("asyncio.Transport", transport)  # uvloop's transports do not subclass it
         self._transport.set_write_buffer_limits(high=0)  # any unsent byte triggers pause_writing
         if self._observer is None:
--- a/gateway/discovery/watch_connection.py
+++ b/gateway/discovery/watch_connection.py
@@ -77,6 +77,7 @@
     """
 
     def __init__(self, consumer: WatchConsumer, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__()
         self.state = WatchState.CONNECTING
         self.closed: asyncio.Future[None] = loop.create_future()
         self.has_received = False
@@ -98,6 +99,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Request the snapshot."""
+        super().connection_made(transport)
         self._transport = cast("asyncio.Transport", transport)  # uvloop's transports do not subclass it
         self.last_received_at = time.monotonic()
         self._set_state(WatchState.FETCHING_SNAPSHOT)
--- a/gateway/upstream/connection.py
+++ b/gateway/upstream/connection.py
@@ -56,6 +56,7 @@
     __slots__ = ("attempt", "has_unsent_bytes", "idle_since", "parser", "poller", "pool", "transport")
 
     def __init__(self, pool: ConnectionOwner) -> None:
+        super().__init__()
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
@@ -66,6 +67,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enable notifications of unsent bytes and register the socket with the poller."""
+        super().connection_made(transport)
         # A cast, not an `isinstance` check, because uvloop's transports do not inherit from this class.
         transport = cast("asyncio.Transport", transport)
         transport.set_write_buffer_limits(high=0)  # call `pause_writing` as soon as a byte is buffered
--- a/tests/counter/test_connection.py
+++ b/tests/counter/test_connection.py
@@ -12,6 +12,7 @@
 from gateway.counter.client import CONNECTION_COUNT, CounterClient
 from gateway.counter.connection import (
     MAX_PENDING_CALLS,
+    MIN_RETRY_DELAY_SECONDS,
     PING_INTERVAL_SECONDS,
     REPLY_TIMEOUT_SECONDS,
 )
@@ -236,6 +237,36 @@
         assert reply.outcome is Outcome.OK
 
 
+def reset_as_connections_open(monkeypatch: pytest.MonkeyPatch, reset_count: int) -> None:
+    """Reset each of the first connections as it opens, while its connect timeout passes."""
+    stall_as_connections_open(monkeypatch, reset_count)
+    stall = CounterClient.connection_opened
+    resets = iter(range(reset_count))
+
+    def reset(client: CounterClient, connection: CounterConnection) -> None:
+        if next(resets, None) is not None:
+            connection.abort()
+        stall(client, connection)
+
+    monkeypatch.setattr(CounterClient, "connection_opened", reset)
+
+
+# Guards against an attempt to connect that fails after its connection has opened, was reset and is being
+# replaced: it disturbed the replacement, whose socket stayed open beside that of yet another one.
+@async_test
+async def test_a_connection_that_is_reset_as_its_timeout_passes_is_replaced_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    reset_as_connections_open(monkeypatch, CONNECTION_COUNT)
+    server = FakeCounter()
+    async with counter_client_for(server.handle, LONG_TIMEOUT_SECONDS) as counter:
+        await until(lambda: server.accepted_connections >= 2 * CONNECTION_COUNT)
+        await asyncio.sleep(2 * MIN_RETRY_DELAY_SECONDS)  # a failed attempt would be repeated meanwhile
+        await counter.until_open()
+        assert server.open_connections == CONNECTION_COUNT
+        assert server.accepted_connections == 2 * CONNECTION_COUNT
+
+
 # Guards against a call that never ends, and with it a customer's lease, because its write raised an error.
 @async_test
 async def test_a_call_whose_write_raises_ends_once_at_its_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_connector.py
+++ b/tests/test_connector.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 import pytest
 
@@ -23,17 +23,19 @@
     """Records the calls of the event loop, and runs a callback as the connection is made."""
 
     def __init__(self, on_made: Callable[[], object] = lambda: None) -> None:
+        super().__init__()
         self.on_made = on_made
         self.events: list[str] = []
-        self.transport: asyncio.BaseTransport | None = None
+        self.transport: asyncio.Transport | None = None
 
     @property
     def has_transport(self) -> bool:
         return self.transport is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
         self.events.append("made")
-        self.transport = transport
+        self.transport = cast("asyncio.Transport", transport)  # uvloop's transports do not subclass it
         self.on_made()
 
     def connection_lost(self, _error: Exception | None) -> None:
@@ -79,6 +81,22 @@
     assert protocol.events == ["made", "lost"]
 
 
+# Guards against an attempt to connect that counts as failed after its connection was made and lost: its owner
+# may have begun another attempt by then.
+@async_test
+async def test_a_connection_that_is_lost_as_its_timeout_passes_is_reported_as_lost_once() -> None:
+    protocol = RecordingProtocol()
+
+    def lose_connection() -> None:
+        assert protocol.transport is not None
+        protocol.transport.abort()
+        time.sleep(2 * TIMEOUT_SECONDS)
+
+    protocol.on_made = lose_connection
+    await connect_to_server(protocol)
+    assert protocol.events == ["made", "lost"]
+
+
 @async_test
 async def test_a_connection_that_is_refused_raises_an_error() -> None:
     protocol = RecordingProtocol()
