Give a connect to the counter time for TCP to repeat its first packet

Callers: after an outage of the counter's machine, connects that were under way were given up in the instant in which they came up; each set off the race that left a connection unusable before. Cause: the connect timeout was 1.0 s, and TCP repeats an unanswered SYN after 1 s. Change: the timeout is 1.5 s, half a second after the repeat.

--- a/gateway/counter/connection.py
+++ b/gateway/counter/connection.py
@@ -26,7 +26,7 @@
 # A transport without any byte for this time while a reply is awaited is replaced, as the counter's machine is
 # likely down.
 REPLY_TIMEOUT_SECONDS = 2.0
-CONNECT_TIMEOUT_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 1.5  # TCP repeats a lost SYN after 1 s
 MIN_RETRY_DELAY_SECONDS = 0.05  # after the first failed attempt to connect, then doubled
 MAX_RETRY_DELAY_SECONDS = 1.0
 
--- a/tests/counter/test_counter_outage.py
+++ b/tests/counter/test_counter_outage.py
@@ -69,3 +69,13 @@
         for name in range(CONNECTION_COUNT):
             await counter.add_and_wait(make_add_action(name))
         assert counter.outcomes == [Outcome.OK] * CONNECTION_COUNT
+
+
+# Guards against calls that fail after an outage of the counter although TCP is about to connect.
+@async_test
+async def test_calls_queued_as_the_counter_returns_are_sent_once_the_connect_is_repeated() -> None:
+    async with counter_that_returns() as counter:
+        for name in range(CONNECTION_COUNT):
+            counter.client.add_to_counter(make_add_action(name))
+        await counter.until_replies(CONNECTION_COUNT)
+        assert counter.outcomes == [Outcome.OK] * CONNECTION_COUNT
