--- a/testbed/faulty_discovery.py
+++ b/testbed/faulty_discovery.py
@@ -17,6 +17,7 @@
 from pydantic import TypeAdapter
 
 from testbed.child_process import serve_commands
+from testbed.fake_discovery import snapshot
 from testbed.fake_server import LOOPBACK
 from testbed.http_messages import http_response, read_message
 
@@ -94,7 +95,7 @@
         """Return the whole list as of a version; endpoints that are gone are left out."""
         by_name = {host["host"]: host for delta in self.deltas[:version] for host in delta}
         hosts = [host for host in by_name.values() if host["health"] != "Gone"]
-        return json.dumps({"seq": version, "whole": True, "hosts": hosts}).encode()
+        return snapshot(version, hosts)
 
     async def handle_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve the snapshot, then a watch, until the gateway closes the connection."""
--- a/tests/policy/conftest.py
+++ b/tests/policy/conftest.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from tests.support.policy import FakeCounter, make_policy
+from tests.support.policy import InMemoryCounter, make_policy
 
 if TYPE_CHECKING:
     from gateway.policy.engine import Policy
 
 
 @pytest.fixture
-def counter() -> FakeCounter:
+def counter() -> InMemoryCounter:
     """A counter without any totals."""
-    return FakeCounter()
+    return InMemoryCounter()
 
 
 @pytest.fixture
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -13,7 +13,7 @@
 from gateway.policy.quota import LeaseKey, QuotaKind
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     counter_calls,
     make_finished,
     make_fleet,
@@ -30,7 +30,7 @@
 
 
 def test_after_a_denied_lease_requests_are_rejected_without_counter_calls(
-    policy: Policy, counter: FakeCounter
+    policy: Policy, counter: InMemoryCounter
 ) -> None:
     serve_many(policy, counter, START, range(30))
     calls = counter.calls
@@ -42,7 +42,7 @@
 
 # Guards against each of many gateways requesting each unit that accrues, which the backoff after consecutive
 # denials prevents.
-def test_many_gateways_of_a_denied_customer_make_few_counter_calls(counter: FakeCounter) -> None:
+def test_many_gateways_of_a_denied_customer_make_few_counter_calls(counter: InMemoryCounter) -> None:
     fleet = make_fleet(40, peers_total="40")
     admitted = 0
     now = START
@@ -59,7 +59,7 @@
 # Requests wait while the rate limiter allows no counter call.  Request 1 is admitted once a call is allowed.
 # For request 2 none is allowed, so the local quota decides on it after the longest wait.
 def test_a_request_waits_for_a_counter_call_no_longer_than_the_longest_wait(
-    policy: Policy, counter: FakeCounter
+    policy: Policy, counter: InMemoryCounter
 ) -> None:
     limiter = policy.counter_rate_limiter
     limiter.call_tokens.reset(0.0, START)
@@ -80,7 +80,7 @@
     assert [answer.request_id for answer in answers] == [2]
 
 
-def test_a_rejected_counter_call_is_retried(policy: Policy, counter: FakeCounter) -> None:
+def test_a_rejected_counter_call_is_retried(policy: Policy, counter: InMemoryCounter) -> None:
     counter.outcome = Outcome.OVERLOADED
     actions = run_event(policy, counter, START, make_request(1))
     assert not [action for action in actions if isinstance(action, StartAttempt | Reject)]
@@ -89,7 +89,7 @@
     assert started_attempts(run_event(policy, counter, START + 2 * timeout, TimerFired(1)))
 
 
-def start_waiting(policy: Policy, counter: FakeCounter, waits_for: str) -> list[Action]:
+def start_waiting(policy: Policy, counter: InMemoryCounter, waits_for: str) -> list[Action]:
     """Start request 2, which has to wait; return the actions.
 
     If it waits for a lease, its counter call is among them and unanswered.
@@ -107,7 +107,7 @@
 # for a counter call, for a lease or for capacity: no later event may lead to either.
 @pytest.mark.parametrize("waits_for", ["call", "lease", "capacity"])
 def test_no_lease_or_attempt_follows_for_a_disconnected_client(
-    waits_for: str, policy: Policy, counter: FakeCounter
+    waits_for: str, policy: Policy, counter: InMemoryCounter
 ) -> None:
     (first,) = started_attempts(run_event(policy, counter, START, make_request(1, customer=9)))
     actions = start_waiting(policy, counter, waits_for)
@@ -142,7 +142,7 @@
     assert lease.awaited_units() == 0.0
 
 
-def test_rejections_have_a_retry_after_even_if_most_clients_ignore_it(counter: FakeCounter) -> None:
+def test_rejections_have_a_retry_after_even_if_most_clients_ignore_it(counter: InMemoryCounter) -> None:
     """The setting `caps.retry_after`, whether clients usually obey a Retry-After, makes no difference."""
     policy = make_policy(caps__retry_after="false", caps__max_retry_after_s="1.5")
     actions = [
--- a/tests/policy/test_counter_ledger.py
+++ b/tests/policy/test_counter_ledger.py
@@ -10,7 +10,7 @@
 from gateway.policy.events import Outcome
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     counter_calls,
     make_finished,
     make_fleet,
@@ -28,7 +28,7 @@
 
 # Guards against gateways that compute different levels because a full quota's overflow is not in the total.
 def test_gateways_agree_on_a_quota_that_has_overflowed(
-    policy: Policy, other_policy: Policy, counter: FakeCounter
+    policy: Policy, other_policy: Policy, counter: InMemoryCounter
 ) -> None:
     pair = (policy, other_policy)
     # START is within a window: 4 units per second have overflowed since the window began.
@@ -46,7 +46,7 @@
     assert quota_level(policy) + sum(leased_ahead) == pytest.approx(0.04)
 
 
-def test_two_gateways_that_lease_at_the_same_time_count_the_overflow_once(counter: FakeCounter) -> None:
+def test_two_gateways_that_lease_at_the_same_time_count_the_overflow_once(counter: InMemoryCounter) -> None:
     pair = make_fleet(2)
     calls = [
         (gateway, call)
@@ -66,7 +66,7 @@
 
 
 def test_the_deficit_is_carried_into_the_next_window_once_and_unspent_credits_expire(
-    policy: Policy, other_policy: Policy, counter: FakeCounter
+    policy: Policy, other_policy: Policy, counter: InMemoryCounter
 ) -> None:
     assert serve(policy, counter, START, 1)
     lease = only_lease(policy)
@@ -87,7 +87,7 @@
     assert quota_level(other_policy) + unspent + admitted_after == pytest.approx(leased + 0.02 * 4)
 
 
-class LossyCounter(FakeCounter):
+class LossyCounter(InMemoryCounter):
     """A counter that runs all calls, but whose replies to some of them, numbered from 1, are lost."""
 
     def __init__(self, lost_replies: set[int]) -> None:
@@ -128,7 +128,9 @@
 
 
 # Guards against units that stay in the total because a gateway stopped before it corrected its own error.
-def test_a_total_higher_than_leases_can_make_it_is_corrected(policy: Policy, counter: FakeCounter) -> None:
+def test_a_total_higher_than_leases_can_make_it_is_corrected(
+    policy: Policy, counter: InMemoryCounter
+) -> None:
     assert serve(policy, counter, START, 1)
     for name in counter.totals:
         counter.totals[name] += 60.0
@@ -137,7 +139,7 @@
 
 
 def test_units_are_added_again_to_a_counter_that_lost_its_totals(
-    policy: Policy, counter: FakeCounter
+    policy: Policy, counter: InMemoryCounter
 ) -> None:
     admitted_before = serve_many(policy, counter, START, range(3))
     counter.lose_totals()
--- a/tests/policy/test_counter_rate_limiter.py
+++ b/tests/policy/test_counter_rate_limiter.py
@@ -7,7 +7,7 @@
 from gateway.policy.events import Outcome
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     serve,
 )
 
@@ -16,7 +16,7 @@
 
 
 def test_the_call_rate_falls_while_the_counter_fails_and_recovers(
-    policy: Policy, counter: FakeCounter
+    policy: Policy, counter: InMemoryCounter
 ) -> None:
     limiter = policy.counter_rate_limiter
     counter.outcome = Outcome.TIMEOUT
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -24,7 +24,7 @@
 from tests.support.endpoints import endpoint_ids
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     make_finished,
     make_policy,
     make_record,
@@ -214,7 +214,7 @@
 # Guards against a table that grows without end, as each replacement of an endpoint has a new id.
 def test_gone_endpoints_are_removed_once_no_attempt_is_in_flight() -> None:
     policy = make_policy([make_record(1)])
-    (attempt,) = started_attempts(run_event(policy, FakeCounter(), START, make_request(1)))
+    (attempt,) = started_attempts(run_event(policy, InMemoryCounter(), START, make_request(1)))
     gone = make_record(1, state=EndpointState.GONE)
     policy.handle(START + 1, EndpointUpdate(UpdateKind.DELTA, 2, (gone, make_record(2))))
     assert set(policy.endpoints.by_id) == {1, 2}
--- a/tests/policy/test_engine.py
+++ b/tests/policy/test_engine.py
@@ -22,7 +22,7 @@
 from tests.support.endpoints import actions_of
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     make_finished,
     make_policy,
     make_request,
@@ -35,7 +35,7 @@
 # credits.
 def test_an_idle_gateway_stops_setting_timers() -> None:
     policy = make_policy()
-    serve(policy, FakeCounter(), START, 1)
+    serve(policy, InMemoryCounter(), START, 1)
     now = START
     timers: list[SetTimer] = []
     for _ in range(200):
@@ -93,7 +93,7 @@
 from gateway.policy.events import Outcome, TimerFired
 from tests.support.policy import *
 policy = make_policy()
-counter = FakeCounter()
+counter = InMemoryCounter()
 for request_id in range(200):
     now = START + request_id / 40
     request = make_request(request_id, cls=request_id % 3, plan=request_id % 3, customer=request_id % 7)
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -12,7 +12,7 @@
 from gateway.policy.events import CounterReply, Event, Outcome, TimerFired
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     ReferenceQuota,
     make_finished,
     make_policy,
@@ -41,7 +41,7 @@
     gateway: int
 
 
-class LimitedCounter(FakeCounter):
+class LimitedCounter(InMemoryCounter):
     """A counter that rejects calls beyond its capacity per second."""
 
     def __init__(self, capacity: int) -> None:
--- a/tests/policy/test_lease.py
+++ b/tests/policy/test_lease.py
@@ -10,7 +10,7 @@
 from gateway.policy.events import EndpointUpdate, UpdateKind
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     make_record,
     make_request,
     only_lease,
@@ -24,7 +24,7 @@
     from gateway.policy.engine import Policy
 
 
-def test_credits_expire_when_the_window_ends(policy: Policy, counter: FakeCounter) -> None:
+def test_credits_expire_when_the_window_ends(policy: Policy, counter: InMemoryCounter) -> None:
     serve(policy, counter, START, 1)
     lease = only_lease(policy)
     lease.credits = 3.0
@@ -33,7 +33,7 @@
     assert lease.credits == 0.0
 
 
-def test_a_denied_customer_leases_its_next_unit_ahead(policy: Policy, counter: FakeCounter) -> None:
+def test_a_denied_customer_leases_its_next_unit_ahead(policy: Policy, counter: InMemoryCounter) -> None:
     """Units that the quota lacks are returned, except the unit that accrues next.
 
     The customer is rejected until that unit has accrued, and then spends it without another counter call.
@@ -56,7 +56,7 @@
 
 
 def test_no_unit_is_leased_ahead_for_an_infrequent_customer(
-    policy: Policy, other_policy: Policy, counter: FakeCounter
+    policy: Policy, other_policy: Policy, counter: InMemoryCounter
 ) -> None:
     assert serve_many(policy, counter, START, range(30)) == 8
     assert not serve(other_policy, counter, START + 0.01, 40)
@@ -66,7 +66,7 @@
 
 # Guards against exceeding the ceiling when queued requests are dispatched with credits of an earlier window.
 def test_the_credits_of_a_queued_request_under_a_ceiling_expire_with_the_window(
-    policy: Policy, counter: FakeCounter
+    policy: Policy, counter: InMemoryCounter
 ) -> None:
     limiter = policy.concurrency_limiter
     limiter.lateness.reset(1.0)
--- a/tests/policy/test_lease_table.py
+++ b/tests/policy/test_lease_table.py
@@ -8,7 +8,7 @@
 from gateway.policy.lease_table import MAX_IDLE_SECONDS
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     make_finished,
     make_request,
     run_event,
@@ -20,7 +20,7 @@
     from gateway.policy.engine import Policy
 
 
-def test_idle_leases_are_evicted(policy: Policy, counter: FakeCounter) -> None:
+def test_idle_leases_are_evicted(policy: Policy, counter: InMemoryCounter) -> None:
     serve(policy, counter, START, 1)
     policy.context.now = START + MAX_IDLE_SECONDS + 1
     policy.leases.reclaim_idle_credits()
@@ -30,7 +30,7 @@
 # Guards against a table that grows with each customer that sends a single request, and against evicting a
 # lease in use.
 def test_leases_are_evicted_unless_a_request_holds_their_credits(
-    policy: Policy, counter: FakeCounter
+    policy: Policy, counter: InMemoryCounter
 ) -> None:
     (in_flight,) = started_attempts(run_event(policy, counter, START, make_request(1, customer=1)))
     for number in range(2, 40):
--- a/tests/policy/test_load_balancer.py
+++ b/tests/policy/test_load_balancer.py
@@ -15,7 +15,7 @@
 from tests.support.endpoints import actions_of
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     make_finished,
     make_policy,
     make_record,
@@ -62,7 +62,7 @@
     actions: list[Action] = []
     for request_id in range(20):
         request = make_request(request_id, customer=request_id)
-        actions += run_event(policy, FakeCounter(), START + request_id, request)
+        actions += run_event(policy, InMemoryCounter(), START + request_id, request)
     assert bool(actions_of(actions, Probe)) == probes
 
 
--- a/tests/policy/test_local_admission.py
+++ b/tests/policy/test_local_admission.py
@@ -7,7 +7,7 @@
 from gateway.policy.events import Outcome, ProbeFinished
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     PreloadedCounter,
     make_finished,
     make_policy,
@@ -23,7 +23,7 @@
 
 
 def test_the_local_quota_applies_while_the_counter_does_not_reply(
-    policy: Policy, counter: FakeCounter
+    policy: Policy, counter: InMemoryCounter
 ) -> None:
     counter.outcome = Outcome.TIMEOUT
     admitted = sum(serve(policy, counter, START + request_id / 10, request_id) for request_id in range(300))
@@ -70,7 +70,7 @@
     assert policy.local_admission.has_tokens(only_lease(policy), 1.0)
 
 
-def test_the_local_quota_of_slots_refills_within_a_mean_latency(counter: FakeCounter) -> None:
+def test_the_local_quota_of_slots_refills_within_a_mean_latency(counter: InMemoryCounter) -> None:
     policy = make_policy(peers_total="100")
     counter.outcome = Outcome.TIMEOUT
     admitted = 0
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -13,7 +13,7 @@
 from gateway.policy.events import Outcome, TimerFired
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     ReferenceQuota,
     make_finished,
     make_fleet,
@@ -46,7 +46,7 @@
     that first sees a customer cannot tell when the units in the total were leased.
     """
     for count, min_level in ((1, -8.0), (3, -16.0)):
-        counter = FakeCounter()
+        counter = InMemoryCounter()
         gateways = make_fleet(count)
         now = START
         reference = ReferenceQuota(rate=4.0, burst=8.0)
@@ -60,11 +60,11 @@
                 assert reference.level >= min_level - 1e-3
 
 
-def test_a_whole_burst_is_usable_after_an_idle_window(policy: Policy, counter: FakeCounter) -> None:
+def test_a_whole_burst_is_usable_after_an_idle_window(policy: Policy, counter: InMemoryCounter) -> None:
     assert serve_many(policy, counter, START + 9.0, range(20)) >= 7
 
 
-def test_fractions_of_a_unit_are_not_lost(counter: FakeCounter) -> None:
+def test_fractions_of_a_unit_are_not_lost(counter: InMemoryCounter) -> None:
     """A quota of 1 unit per second with a burst of 3 units admits its whole rate for 60 s."""
     changes = {"tariffs__0__quota_rate": "1.0", "tariffs__0__peak_units": "3.0"}
     policy = make_policy(**changes)
@@ -77,7 +77,7 @@
     [pytest.param(2, 0.95, id="2"), pytest.param(20, 0.95, id="20"), pytest.param(100, 0.9, id="100")],
 )
 def test_a_customer_of_many_gateways_gets_about_its_quota(
-    gateway_count: int, least_fraction: float, counter: FakeCounter
+    gateway_count: int, least_fraction: float, counter: InMemoryCounter
 ) -> None:
     """A customer that sends four times its quota gets nearly all of the quota and hardly more.
 
@@ -97,7 +97,7 @@
     assert least_fraction * quota <= admitted <= 1.1 * quota
 
 
-def test_slots_limit_concurrency_and_are_returned(policy: Policy, counter: FakeCounter) -> None:
+def test_slots_limit_concurrency_and_are_returned(policy: Policy, counter: InMemoryCounter) -> None:
     attempts = [
         started_attempts(run_event(policy, counter, START, make_request(request_id, plan=2)))
         for request_id in range(3)
@@ -124,7 +124,7 @@
 def test_the_ceiling_holds_while_the_counter_fails_and_loses_its_totals(
     arrivals: list[Arrival], lost_at: int
 ) -> None:
-    counter = FakeCounter()
+    counter = InMemoryCounter()
     gateways = make_fleet(3)
     now = START
     ceiling = ReferenceQuota(rate=8.0, burst=16.0)
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -16,7 +16,7 @@
 from tests.support.endpoints import actions_of
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     make_finished,
     make_policy,
     make_record,
@@ -76,7 +76,7 @@
 )
 def test_a_retry_with_a_key_leaves_time_to_connect(*, failed_after: float, is_retried: bool) -> None:
     policy = make_policy()
-    counter = FakeCounter()
+    counter = InMemoryCounter()
     (attempt,) = started_attempts(run_event(policy, counter, START, make_request(1, cls=1)))
     finished = make_finished(1, attempt, Outcome.ERROR)
     actions = run_event(policy, counter, START + failed_after, finished)
@@ -88,7 +88,7 @@
 
     Each attempt in flight is rejected by its endpoint, which would cause a retry.
     """
-    counter = FakeCounter()
+    counter = InMemoryCounter()
     now = policy.context.now
     policy.handle(now, ClientDisconnected(1))
     policy.concurrency_limiter.concurrency_limit = 10.0
@@ -104,13 +104,13 @@
 
 def test_no_retry_for_a_disconnected_client_with_an_attempt_in_flight() -> None:
     policy = make_policy(classes__0__goal_time_s="4.0")
-    (attempt,) = started_attempts(run_event(policy, FakeCounter(), START, make_request(1)))
+    (attempt,) = started_attempts(run_event(policy, InMemoryCounter(), START, make_request(1)))
     assert_not_retried_when_disconnected(policy, [attempt])
 
 
 def test_no_retry_for_a_disconnected_client_whose_request_waits_for_capacity() -> None:
     policy = make_policy(classes__0__goal_time_s="4.0")
-    counter = FakeCounter()
+    counter = InMemoryCounter()
     assert started_attempts(run_event(policy, counter, START, make_request(9, customer=9)))
     (attempt,) = started_attempts(run_event(policy, counter, START, make_request(1)))
     policy.concurrency_limiter.concurrency_limit = 1e-9
@@ -122,7 +122,7 @@
 
 def test_no_retry_for_a_disconnected_client_with_a_hedged_request() -> None:
     policy = make_policy(classes__0__goal_time_s="4.0")
-    counter = FakeCounter()
+    counter = InMemoryCounter()
     (attempt,) = started_attempts(run_event(policy, counter, START, make_request(1)))
     (hedged,) = started_attempts(run_event(policy, counter, START + 2.5, TimerFired(1)))
     assert hedged.request_id == 1
@@ -144,7 +144,7 @@
 
     def __init__(self) -> None:
         self.policy = make_policy(tariffs__0__quota_rate="0", classes__0__goal_time_s="4.0")
-        self.counter = FakeCounter()
+        self.counter = InMemoryCounter()
         self.in_flight: list[tuple[float, StartAttempt, int]] = []  # response time, attempt, attempt number
 
     def send(self, now: float, request_id: int) -> list[StartAttempt]:
@@ -186,7 +186,7 @@
 
 def test_a_request_that_no_endpoint_accepted_is_rejected_with_retry_after() -> None:
     policy = make_policy([make_record(1)])
-    (attempt,) = started_attempts(run_event(policy, FakeCounter(), START, make_request(1, cls=2)))
+    (attempt,) = started_attempts(run_event(policy, InMemoryCounter(), START, make_request(1, cls=2)))
     rejection, *_ = policy.handle(START + 3.99, make_finished(1, attempt, Outcome.OVERLOADED))
     assert isinstance(rejection, Reject)
     assert rejection.retry_after > 0
--- a/tests/policy/test_subsetting.py
+++ b/tests/policy/test_subsetting.py
@@ -20,7 +20,7 @@
 from tests.support.endpoints import endpoint_ids
 from tests.support.policy import (
     START,
-    FakeCounter,
+    InMemoryCounter,
     make_finished,
     make_policy,
     make_record,
@@ -112,7 +112,7 @@
 def test_a_gateway_uses_other_endpoints_once_those_of_its_subset_are_gone() -> None:
     records = [make_record(endpoint_id) for endpoint_id in range(1, ENDPOINT_COUNT + 1)]
     policy = make_policy(records, peers_total=str(GATEWAY_COUNT), me="7")
-    counter = FakeCounter()
+    counter = InMemoryCounter()
     used = set()
     for request_id in range(200):
         now = START + request_id
--- a/tests/process/services.py
+++ b/tests/process/services.py
@@ -6,7 +6,7 @@
 import json
 from typing import TYPE_CHECKING, Any
 
-from testbed.fake_discovery import FakeDiscoveryAgent, host_entry
+from testbed.fake_discovery import FakeDiscoveryAgent, host_entry, snapshot
 from testbed.fake_server import FakeServer, Handler, server_address
 from tests.support.gateway import UNREACHABLE, config_text
 
@@ -35,7 +35,7 @@
 
 def publish_snapshot(agent: FakeDiscoveryAgent, version: int, hosts: list[dict[str, Any]]) -> None:
     """Set the snapshot of the endpoint list with which an agent answers."""
-    agent.snapshot = json.dumps({"seq": version, "whole": True, "hosts": hosts}).encode()
+    agent.snapshot = snapshot(version, hosts)
 
 
 def write_config(
--- a/tests/support/policy.py
+++ b/tests/support/policy.py
@@ -119,7 +119,7 @@
     return [action for action in actions if isinstance(action, AddToCounter)]
 
 
-class FakeCounter:
+class InMemoryCounter:
     """A counter shared by the gateways of a test.
 
     Attributes:
@@ -162,7 +162,7 @@
     return [make_policy(me=str(index), **changes) for index in range(count)]
 
 
-def run_event(policy: Policy, counter: FakeCounter, now: float, event: Event) -> list[Action]:
+def run_event(policy: Policy, counter: InMemoryCounter, now: float, event: Event) -> list[Action]:
     """Handle an event and answer all counter calls that follow from it; return all actions."""
     actions = policy.handle(now, event)
     index = 0
@@ -174,7 +174,7 @@
     return actions
 
 
-def serve(policy: Policy, counter: FakeCounter, now: float, request_id: int, **fields: int) -> bool:
+def serve(policy: Policy, counter: InMemoryCounter, now: float, request_id: int, **fields: int) -> bool:
     """Handle a request and finish its attempt at once; return whether an attempt was started."""
     attempts = started_attempts(run_event(policy, counter, now, make_request(request_id, **fields)))
     for attempt in attempts:
@@ -182,7 +182,7 @@
     return bool(attempts)
 
 
-def serve_many(policy: Policy, counter: FakeCounter, now: float, request_ids: Iterable[int]) -> int:
+def serve_many(policy: Policy, counter: InMemoryCounter, now: float, request_ids: Iterable[int]) -> int:
     """Serve several requests of one customer at the same time; return how many were admitted."""
     return sum(serve(policy, counter, now, request_id) for request_id in request_ids)
 
@@ -190,7 +190,7 @@
 def start_request(policy: Policy, request_id: int, **fields: int) -> StartAttempt:
     """Handle a request of a new customer; return its first attempt, which stays in flight."""
     (attempt,) = started_attempts(
-        run_event(policy, FakeCounter(), START, make_request(request_id, customer=request_id, **fields))
+        run_event(policy, InMemoryCounter(), START, make_request(request_id, customer=request_id, **fields))
     )
     return attempt
 
@@ -228,7 +228,7 @@
         self.level -= 1.0
 
 
-class PreloadedCounter(FakeCounter):
+class PreloadedCounter(InMemoryCounter):
     """A counter whose totals start at `initial_total`, the units that other gateways have added."""
 
     initial_total = 0.0
