--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -16,7 +16,7 @@
 from harness.gateway import Gateway, free_port
 from harness.platform import Counter, Discovery
 from harness.record import Record
-from harness.settings import Addresses, Limits, host, write_configuration
+from harness.settings import KIND, Addresses, host, write_configuration
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
@@ -70,15 +70,19 @@
         await self.discovery.start(hosts)
         return hosts
 
-    async def start_gateway(self, known: list[dict[str, Any]], limits: Limits | None = None) -> Gateway:
-        """Start a gateway that has the endpoint list `known` from before; it ends with the case."""
+    async def start_gateway(self, known: list[dict[str, Any]], kind: str = KIND) -> Gateway:
+        """Start a gateway that has the list `known` from before; it ends with the case."""
         gateway = Gateway("n0", self.folder, free_port(), self.record)
-        addresses = Addresses(gateway.port, self.discovery.port, self.counter.port)
-        write_configuration(gateway.config, addresses, known, limits)
+        self.write_configuration(gateway, known, kind)
         self.stack.push_async_callback(gateway.end)
         await gateway.start(self.discovery.port)
         return gateway
 
+    def write_configuration(self, gateway: Gateway, known: list[dict[str, Any]], kind: str = KIND) -> None:
+        """Write the configuration file that the gateway's next process reads."""
+        addresses = Addresses(gateway.port, self.discovery.port, self.counter.port)
+        write_configuration(gateway.config, addresses, known, kind)
+
 
 async def _watch_stalls(case: Case) -> None:
     """Raise the longest time for which the stand-ins did not run, as the machine was busy."""
--- a/review/harness/gateway.py
+++ b/review/harness/gateway.py
@@ -56,10 +56,10 @@
             )
         self._record.write(self.name, f"started, pid {self.process.pid}, port {self.port}")
 
-    async def ready(self) -> bool:
+    async def ready(self, seconds: float = READY_SECONDS) -> bool:
         """Wait until `GET /-/ready` has answered 200; return whether it has."""
         loop = asyncio.get_running_loop()
-        give_up_at = loop.time() + READY_SECONDS
+        give_up_at = loop.time() + seconds
         while loop.time() < give_up_at and self.process is not None and self.process.returncode is None:
             if await ready_status(self.port) == 200:  # noqa: PLR2004
                 self._record.write(self.name, "answered GET /-/ready with 200")
--- a/review/harness/settings.py
+++ b/review/harness/settings.py
@@ -12,6 +12,8 @@
 ZONE = "hallen-norrvik"
 KIND = "small-2c"
 CUSTOMERS_PLAN = "stor"
+MEMORY_MB = 192  # with SOCKETS, the limits of the scored days
+SOCKETS = 1024
 
 
 def _classes() -> list[dict[str, Any]]:
@@ -56,12 +58,12 @@
     }
 
 
-def settings(me: int = 0, gateways: int = 2) -> dict[str, Any]:
-    """Return the settings of the wire page for one gateway of a small deployment."""
+def settings(kind: str = KIND) -> dict[str, Any]:
+    """Return the settings of the wire page for one gateway of a small deployment, with one machine kind."""
     return {
         "az": 0,
-        "me": me,
-        "peers_total": gateways,
+        "me": 0,
+        "peers_total": 2,
         "layer": 0,
         "period_s": 0.004,
         "service_type": "gate",
@@ -69,7 +71,7 @@
         "weight_source": "silent",
         "tiers": ["katalog-servers"],
         "zones": [ZONE],
-        "host_types": [KIND],
+        "host_types": [kind],
         "caps": {
             "cancel": True,
             "conn_idle_s": 15.0,
@@ -116,19 +118,18 @@
     }
 
 
-def host(name: str, port: int, health: str = "Ready", born_ms: int = 0, **changes: object) -> dict[str, Any]:
+def host(name: str, port: int, health: str = "Ready", kind: str = KIND) -> dict[str, Any]:
     """Return the entry of a server in discovery's list."""
-    entry: dict[str, Any] = {
+    return {
         "host": name,
         "dial": f"127.0.0.1:{port}",
         "site": ZONE,
-        "class": KIND,
+        "class": kind,
         "block": 0,
         "health": health,
         "share": 1.0,
-        "born_ms": born_ms,
+        "born_ms": 0,
     }
-    return entry | changes
 
 
 @dataclass(frozen=True)
@@ -140,28 +141,19 @@
     counter: int
 
 
-@dataclass(frozen=True)
-class Limits:
-    """The limits that a gateway is told; by default those of the scored days."""
-
-    memory_mb: int = 192
-    sockets: int = 1024
-
-
 def write_configuration(
-    path: Path, addresses: Addresses, known: list[dict[str, Any]], limits: Limits | None = None
+    path: Path, addresses: Addresses, known: list[dict[str, Any]], kind: str = KIND
 ) -> None:
-    """Write the configuration file of a gateway."""
-    limits = limits or Limits()
+    """Write the configuration file of a gateway, with the limits of the scored days."""
     configuration = {
         "name": "n0",
         "listen": f"127.0.0.1:{addresses.listen}",
         "discovery": f"127.0.0.1:{addresses.discovery}",
         "counter": f"127.0.0.1:{addresses.counter}",
         "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
         "known": {"seq": 1, "whole": True, "hosts": known},
-        "settings": settings(),
+        "settings": settings(kind),
     }
     temporary = path.with_suffix(".new")
     temporary.write_text(json.dumps(configuration), encoding="utf-8")
