--- a/review/2/play.py
+++ b/review/2/play.py
@@ -22,7 +22,7 @@
 SERVERS = 8
 CLIENTS = 16
 PERIOD_SECONDS = 0.25
-TIMEOUT_SECONDS = 1.5
+TIMEOUT_SECONDS = (0.75, 1.5)  # clients give a try up after 50 to 100% of the class's 1.5 s
 SECONDS = 32.0
 TROUBLE_AFTER_SECONDS = 5.0
 TROUBLE_ROUNDS = 3
@@ -38,8 +38,9 @@
     await asyncio.sleep(random.uniform(0, PERIOD_SECONDS))
     ends_at = loop.time() + SECONDS
     while (asked_at := loop.time()) < ends_at:
-        request_id, request = client.build("listing-read", TIMEOUT_SECONDS)
-        answer = await client.ask(request_id, request, TIMEOUT_SECONDS)
+        seconds = random.uniform(*TIMEOUT_SECONDS)
+        request_id, request = client.build("listing-read", seconds)
+        answer = await client.ask(request_id, request, seconds)
         if not answer.status:
             case.break_rule(f"{request_id} was lost: {answer.why}")
         await asyncio.sleep(max(0.0, asked_at + PERIOD_SECONDS - loop.time()))
