Reject a header that never ends before it fills the memory

Callers saw nothing yet; one client could end a gateway for its memory. A client that sends a header without end at full speed made a process grow from 27 to 60 MB with 16 MB sent, until the read timeout of 2.3 s; the limit of the process may be 64 MB.

Cause: httptools passes a header on only once it is complete and keeps its bytes until then, and RequestReader counts bytes of headers only in on_header. So nothing bounds one header, a trailer or a chunk extension. Many small headers are counted, but each takes up twenty times its bytes: 324 KB for a head of 16 KB, for each connection.

Evidence: tracemalloc and the process's peak memory; a target without end was rejected all the while, as httptools passes on its parts.

A reader now counts the bytes since the last read that completed a header or a part of a body, and rejects the request above the limit of all headers. It also takes at most 128 headers, and at most ten times the largest body on the wire, of which one-byte chunks use six.

Before, five of six cases of test_a_header_that_never_ends_is_rejected, test_many_small_headers_take_up_little_memory, the case of the number of headers and test_a_chunked_body_has_a_limit_on_the_wire failed. After, the same client gets 400 at once and the process stays at 27 MB.

--- a/gateway/frontend/request_reader.py
+++ b/gateway/frontend/request_reader.py
@@ -20,6 +20,9 @@
 CONTINUE_EXPECTED = b"100-continue"  # the value of Expect
 HEADER_TOO_LARGE = "header too large"
 MAX_BYTES_BEFORE_REQUEST = 1024  # such as empty lines
+MAX_INCOMPLETE_BYTES = MAX_HEADER_BYTES  # of a header that is not complete, which the parser buffers
+MAX_HEADERS = 128
+MAX_REQUEST_BYTES = 10 * MAX_BODY_BYTES  # on the wire, where a chunked body may consist of one-byte chunks
 MAX_DISCARDED_BYTES = 1 << 20  # bytes from a rejected client after which reading pauses
 
 
@@ -90,6 +93,7 @@
         "_header_bytes",
         "_headers",
         "_headers_complete",
+        "_incomplete_bytes",
         "_parser",
         "_started_at",
         "_target",
@@ -103,6 +107,7 @@
         self._handler = handler
         self._parser = httptools.HttpRequestParser(self)
         self._started_at = 0.0
+        self._incomplete_bytes = 0  # bytes since the last read that completed a header or a part of a body
         self._start_request()
 
     @property
@@ -130,6 +135,7 @@
             FrontendError: The bytes are not a valid request, or the handler has rejected the request.
         """
         self.bytes_since_request += len(data)
+        pieces_before = self._header_bytes + len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -139,9 +145,20 @@
             if isinstance(cause, FrontendError):
                 raise cause from None
             raise BadRequestError("malformed request") from None
-        if self.bytes_since_request > MAX_BYTES_BEFORE_REQUEST and self.state is not RECEIVING:
+        if self.state is RECEIVING:
+            has_progressed = self._header_bytes + len(self._body) != pieces_before
+            self._incomplete_bytes = 0 if has_progressed else self._incomplete_bytes + len(data)
+            self._check_sizes()
+        elif self.bytes_since_request > MAX_BYTES_BEFORE_REQUEST:
             raise BadRequestError("too many bytes before a request")
 
+    def _check_sizes(self) -> None:
+        """Check the sizes of an incomplete request that the calls of the parser do not tell."""
+        if self._incomplete_bytes > MAX_INCOMPLETE_BYTES:
+            raise BadRequestError(HEADER_TOO_LARGE)
+        if self.bytes_since_request > MAX_REQUEST_BYTES:
+            raise BodyTooLargeError("body too large")
+
     def close(self) -> None:
         """Stop parsing; further bytes are discarded."""
         self.state = CLOSED
@@ -189,8 +206,11 @@
         self._header_bytes += len(name) + len(value) + HEADER_SEPARATOR_BYTES
         if self._header_bytes > MAX_HEADER_BYTES:
             raise BadRequestError(HEADER_TOO_LARGE)
-        if not self._headers_complete:
-            self._headers.append((name.lower(), value))
+        if self._headers_complete:
+            return
+        if len(self._headers) >= MAX_HEADERS:
+            raise BadRequestError(HEADER_TOO_LARGE)
+        self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check Content-Length and Expect before the body is received."""
@@ -213,6 +233,7 @@
         if self.state is RECEIVING:
             self.state = BETWEEN_REQUESTS
         self.bytes_since_request = 0
+        self._incomplete_bytes = 0
         self._handler.request_received(
             ReceivedRequest(
                 method=self._parser.get_method(),
--- a/tests/frontend/test_request_reader.py
+++ b/tests/frontend/test_request_reader.py
@@ -12,6 +12,8 @@
     MAX_BYTES_BEFORE_REQUEST,
     MAX_DISCARDED_BYTES,
     MAX_HEADER_BYTES,
+    MAX_HEADERS,
+    MAX_REQUEST_BYTES,
     ReaderState,
     ReceivedRequest,
     RequestReader,
@@ -27,7 +29,9 @@
     + b"x" * (MAX_BODY_BYTES + 1)
 )
 CHUNKED_HEAD = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+MANY_HEADERS = b"GET / HTTP/1.1\r\n" + b"a:\r\n" * (MAX_HEADERS + 1) + b"\r\n"
 READ_BYTES = 4096  # the parts in which a long request is fed
+MAX_BUFFERED_BYTES = 4 * MAX_HEADER_BYTES  # of a request that has no body yet
 EMPTY_LINES = b"\r\n" * (MAX_BYTES_BEFORE_REQUEST // 2 + 1)
 GET = b"GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n"
 POST = b"POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\nsome"
@@ -128,6 +132,7 @@
         pytest.param(UPGRADE, BadRequestError, "protocol upgrades are not supported", id="upgrade"),
         pytest.param(LONG_TARGET, BadRequestError, "header too large", id="target"),
         pytest.param(LONG_HEADER, BadRequestError, "header too large", id="header"),
+        pytest.param(MANY_HEADERS, BadRequestError, "header too large", id="number of headers"),
         pytest.param(LONG_BODY, BodyTooLargeError, "body too large", id="announced body"),
         pytest.param(LONG_CHUNKED_BODY, BodyTooLargeError, "body too large", id="chunked body"),
         pytest.param(EMPTY_LINES, BadRequestError, "too many bytes before a request", id="empty lines"),
@@ -201,6 +206,36 @@
     return allocated
 
 
+# Guards against a header that never ends: the HTTP parser buffers all of it, until the memory limit.
+@pytest.mark.parametrize(
+    "start",
+    [
+        pytest.param(b"GET / HTTP/1.1\r\nX: ", id="value"),
+        pytest.param(b"GET / HTTP/1.1\r\n", id="name"),
+        pytest.param(b"GET /", id="target"),
+        pytest.param(CHUNKED_HEAD + b"1;", id="chunk extension"),
+        pytest.param(CHUNKED_HEAD + b"1;a=", id="value of a chunk extension"),
+        pytest.param(CHUNKED_HEAD + b"0\r\nX: ", id="trailer"),
+    ],
+)
+def test_a_header_that_never_ends_is_rejected(reader: RequestReader, start: bytes) -> None:
+    with pytest.raises(BadRequestError, match="header too large"):
+        feed_in_reads(reader, start + b"a" * MAX_BUFFERED_BYTES)
+    assert reader.bytes_since_request <= MAX_BUFFERED_BYTES
+
+
+# As above, by the memory: a later header starts the count of an incomplete one anew.
+def test_headers_that_are_too_large_take_up_little_memory(reader: RequestReader) -> None:
+    headers = b"".join(b"X: " + b"a" * (MAX_HEADER_BYTES // 2) + b"\r\n" for _ in range(100))
+    assert allocated_bytes(reader, b"GET / HTTP/1.1\r\n" + headers) < MAX_BUFFERED_BYTES
+
+
+# Guards against many small headers, each of which takes up twenty times the bytes that it has on the wire.
+def test_many_small_headers_take_up_little_memory(reader: RequestReader) -> None:
+    headers = b"a:\r\n" * (MAX_HEADER_BYTES // 5)
+    assert allocated_bytes(reader, b"GET / HTTP/1.1\r\n" + headers) < MAX_BUFFERED_BYTES
+
+
 # Guards against memory beyond the budget of bodies: a list of parts takes up many times the bytes of a body.
 @pytest.mark.parametrize("size", [1, 2, 16])
 def test_a_body_in_small_chunks_takes_up_about_its_size(reader: RequestReader, size: int) -> None:
@@ -212,3 +247,10 @@
 def test_a_body_in_one_byte_chunks_is_received(reader: RequestReader, handler: RecordingHandler) -> None:
     feed_in_reads(reader, CHUNKED_HEAD + b"1\r\nx\r\n" * MAX_BODY_BYTES + b"0\r\n\r\n")
     assert [request.body for request in handler.requests] == [b"x" * MAX_BODY_BYTES]
+
+
+# Guards against chunk extensions without end, each of which is short.
+def test_a_chunked_body_has_a_limit_on_the_wire(reader: RequestReader) -> None:
+    with pytest.raises(BodyTooLargeError):
+        feed_in_reads(reader, CHUNKED_HEAD + b"1;a=aaaaaaaaaaaa\r\nx\r\n" * (MAX_BODY_BYTES - 1))
+    assert reader.bytes_since_request <= MAX_REQUEST_BYTES + READ_BYTES
