Bound the time for which clients' bytes hold up the event loop

Cause: work in one iteration of the event loop has no bound. A read takes up to 256 KB, the loop handles every readable connection before it runs timers again, and each chunk costs calls: 22 ms for a body of 64 KB, so one iteration over 320 connections takes seconds, in which neither deadlines nor read timeouts run. Chunks are one way to it and not the cause: 2,000 readiness checks on each of 60 connections held the loop for 2.07 s.

Evidence: the time of feeding a reader (22, 14 and 6 ms for chunks of 1, 2 and 16 bytes), and the processor time between two runs of a task that only yields.

A client connection now reads 4 KB at a time into memory that all share. Once the parsing in an iteration has taken 5 ms, further reads, one for each connection at most, are deferred: reading pauses, and a later iteration parses them, short ones before long ones, with at least one long one in each. The rest stays in the system's buffers. The rest of a body with a Content-Length costs a fixed number of calls, so it is read in one piece and never deferred, as are bytes that are discarded. A paused connection is polled for a client that has gone, as one that does not read its responses was. One read may complete 16 requests.

test_small_pieces_of_clients_do_not_hold_up_the_event_loop failed before with 502 for chunks and 2.07 s for readiness checks; its bound of 0.15 s is what a gateway may be held up for.

--- a/gateway/frontend/client_connection.py
+++ b/gateway/frontend/client_connection.py
@@ -12,12 +12,16 @@
 from gateway.frontend.http_response import encode_response, error_response
 from gateway.frontend.request_budget import BodyReservation
 from gateway.frontend.request_reader import ReceivedRequest, RequestReader
+from gateway.read_scheduler import BULK_READ_BYTES
+from gateway.scheduled_protocol import ScheduledProtocol
 
 if TYPE_CHECKING:
     from gateway.frontend.request_dispatcher import RequestDispatcher
     from gateway.frontend.wait_queue import WaitQueue
+    from gateway.read_scheduler import ReadScheduler
 
 MAX_PIPELINED_REQUESTS = 4  # requests on one connection whose responses are not sent yet
+MAX_REQUESTS_PER_READ = 16  # on one connection; a response that is ready at once takes no time to send
 # Pause in reading from a rejected client that keeps sending, which limits the CPU time spent on it.
 DISCARD_PAUSE_SECONDS = 0.01
 
@@ -40,22 +44,23 @@
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that is lost."""
 
-    def mark_write_blocked(self, connection: ClientConnection) -> None:
-        """Record that reading from a connection is paused, as its client does not read its responses."""
+    def mark_paused(self, connection: ClientConnection) -> None:
+        """Record that reading from a connection is paused, so that the event loop reports no disconnect."""
 
-    def unmark_write_blocked(self, connection: ClientConnection) -> None:
+    def unmark_paused(self, connection: ClientConnection) -> None:
         """Record that reading from a connection is resumed."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(ScheduledProtocol):
     """One connection of a client.
 
     It is in at most one of the registry's queues, depending on its state, and in none while the response to
     a complete request is pending.
 
-    The event loop calls the methods of ``asyncio.Protocol``, the reader those of ``RequestHandler``, and the
-    exchanges call ``flush_responses``.  The registry calls ``move_to_queue``, ``reject`` and ``abort``, and
-    ``eof_received`` for a client that has disconnected while reading from it is paused.
+    The event loop calls the methods of ``asyncio.BufferedProtocol``, the scheduler ``parse_deferred``, the
+    reader the methods of ``RequestHandler``, and the exchanges ``flush_responses``.  The registry calls
+    ``move_to_queue``, ``reject`` and ``abort``, and ``eof_received`` for a client that has disconnected while
+    reading from it is paused.
 
     Attributes:
         socket: The client's socket.
@@ -64,7 +69,10 @@
         queue: The registry's queue that contains the connection; None if it is in none.
     """
 
-    def __init__(self, registry: ConnectionRegistry, dispatcher: RequestDispatcher) -> None:
+    def __init__(
+        self, registry: ConnectionRegistry, dispatcher: RequestDispatcher, read_scheduler: ReadScheduler
+    ) -> None:
+        super().__init__(read_scheduler)
         self.socket = ClientSocket()
         self.reader = RequestReader(self)
         self.pending_exchanges: deque[Exchange] = deque()
@@ -72,6 +80,9 @@
         self._registry = registry
         self._dispatcher = dispatcher
         self._body_reservation = BodyReservation(dispatcher.budget)
+        self._requests_in_read = 0  # requests that the last read has completed so far
+        # Whether the client does not read its responses, or has sent too much after it was rejected.
+        self._is_paused = False
 
     def move_to_queue(self, queue: WaitQueue[ClientConnection] | None) -> None:
         """Move to the end of a queue, or with None leave the current queue."""
@@ -82,11 +93,13 @@
             queue.add(self)
 
     def has_unread_bytes(self) -> bool:
-        """Return whether the system has received bytes that are not read yet.
+        """Return whether bytes were received that are not parsed yet.
 
         They may be a request, so the connection must not be closed as idle.
         """
-        return not self.reader.is_closed and self.socket.has_unread_bytes()
+        if self.reader.is_closed:
+            return False
+        return self.has_deferred_bytes or self.socket.has_unread_bytes()
 
     # --- called by the event loop ------------------------------------------------------------------
 
@@ -100,25 +113,31 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Release the connection's resources and report the disconnect for all pending requests."""
         self.socket.detach()
+        self.discard_deferred()
         self.move_to_queue(None)
         self._registry.remove(self)
         self._release_body()
         self.reader.release()
         self._disconnect_pending_exchanges()
 
-    def data_received(self, data: bytes) -> None:
+    def bulk_bytes(self) -> int:
+        """Return how many of the next bytes cost a fixed number of calls to parse or to discard."""
+        return BULK_READ_BYTES if self.reader.is_closed else self.reader.plain_body_bytes
+
+    def parse(self, data: memoryview | bytes) -> None:
         """Parse requests; on an invalid request, send an error response and close the connection.
 
         Bytes after an invalid request are read and discarded, at a limited rate: closing a connection with
         unread bytes makes the system send a reset, which could reach the client before the response.
         """
         if not self.reader.is_closed:
+            self._requests_in_read = 0
             try:
                 self.reader.feed(data)
             except FrontendError as error:
                 self.reject(error)
         elif self.reader.discard(len(data)) and self.socket.is_attached:
-            self.socket.pause_reading()
+            self.pause_writing()
             asyncio.get_running_loop().call_later(DISCARD_PAUSE_SECONDS, self.resume_writing)
 
     def eof_received(self) -> None:
@@ -133,14 +152,24 @@
 
     def pause_writing(self) -> None:
         """Pause reading until the client reads its responses, so that they do not pile up in memory."""
-        if self.socket.is_attached:
-            self.socket.pause_reading()
-            self._registry.mark_write_blocked(self)
+        self._is_paused = True
+        self.update_reading()
 
     def resume_writing(self) -> None:
         """Resume reading requests."""
-        self._registry.unmark_write_blocked(self)
-        self.socket.resume_reading()
+        self._is_paused = False
+        self.update_reading()
+
+    def update_reading(self) -> None:
+        """Pause reading while there is a reason for it, and resume it otherwise."""
+        if not self.socket.is_attached:
+            return
+        if self._is_paused or self.has_deferred_bytes:
+            self.socket.pause_reading()
+            self._registry.mark_paused(self)
+        else:
+            self._registry.unmark_paused(self)
+            self.socket.resume_reading()
 
     # --- called by the reader ----------------------------------------------------------------------
 
@@ -160,8 +189,10 @@
 
     def request_received(self, request: ReceivedRequest) -> None:
         """Dispatch a complete request."""
-        if len(self.pending_exchanges) >= MAX_PIPELINED_REQUESTS:
-            # One read may contain hundreds of requests, each with a response of up to 64 KiB to buffer.
+        self._requests_in_read += 1
+        has_too_many_pending = len(self.pending_exchanges) >= MAX_PIPELINED_REQUESTS
+        # One read may contain hundreds of requests, each with a response of up to 64 KiB to buffer.
+        if has_too_many_pending or self._requests_in_read > MAX_REQUESTS_PER_READ:
             raise UnavailableError("too many pipelined requests on this connection")
         if self.socket.has_peer_closed():
             # The client has disconnected after sending the request, which may have been in the socket buffer
@@ -189,7 +220,11 @@
         exchange.respond(error_response(error))
 
     def flush_responses(self) -> None:
-        """Write the responses that are next in order; if none is pending, wait for the next request."""
+        """Write the responses that are next in order; if none is pending, wait for the next request.
+
+        After the last response on the connection, shut down the sending side but keep reading: closing with
+        unread bytes would make the system send a reset, which could overtake the response.
+        """
         while self.pending_exchanges and (response := self.pending_exchanges[0].response) is not None:
             exchange = self.pending_exchanges.popleft()
             if not self.socket.is_open:
@@ -197,7 +232,10 @@
             is_last = not exchange.keep_alive or (self._registry.is_stopping and not self.pending_exchanges)
             self.socket.write(encode_response(response, close=is_last))
             if is_last:
-                self._half_close()
+                self.reader.close()
+                self.socket.write_eof()
+                self.move_to_queue(self._registry.half_closed)
+                self._disconnect_pending_exchanges()  # pipelined requests that get no response any more
                 return
         if not self.pending_exchanges and self.queue is None:
             is_receiving = self.reader.is_receiving
@@ -208,17 +246,6 @@
         self.move_to_queue(None)
         self.socket.abort()
 
-    def _half_close(self) -> None:
-        """Shut down the sending side but keep reading.
-
-        Closing with unread bytes would make the system send a reset, which could overtake the response.
-        """
-        self.reader.close()
-        if self.socket.is_attached:
-            self.socket.write_eof()
-            self.move_to_queue(self._registry.half_closed)
-            self._disconnect_pending_exchanges()  # pipelined requests that get no response any more
-
     def _disconnect_pending_exchanges(self) -> None:
         """Tell the driver for each pending request that the client has disconnected."""
         pending = self.pending_exchanges
--- a/gateway/frontend/connection_table.py
+++ b/gateway/frontend/connection_table.py
@@ -39,7 +39,7 @@
         receiving: Connections on which part of a second or later request has been received.
         half_closed: Connections whose client has shut down its sending side, or that have sent their last
             response.
-        write_blocked: Connections that are not read because their clients do not read their responses.
+        paused: Connections from which reading is paused.
         is_stopping: Whether connections are closed once they have no pending requests.
     """
 
@@ -51,7 +51,7 @@
         self.idle_connections: WaitQueue[ClientConnection] = WaitQueue()
         self.receiving: WaitQueue[ClientConnection] = WaitQueue()
         self.half_closed: WaitQueue[ClientConnection] = WaitQueue()
-        self.write_blocked: set[ClientConnection] = set()
+        self.paused: set[ClientConnection] = set()
         self.is_stopping = False
         self._loop = asyncio.get_running_loop()
         self._timeout_timer = self._loop.call_later(TIMEOUT_SWEEP_SECONDS, self.close_overdue_connections)
@@ -81,7 +81,7 @@
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that is lost."""
         self.connections.discard(connection)
-        self.write_blocked.discard(connection)
+        self.paused.discard(connection)
 
     def choose_connection_to_evict(self, newest: ClientConnection) -> ClientConnection | None:
         """Return a connection to evict in favour of the newest one, or None if none is suitable.
@@ -110,23 +110,23 @@
             oldest.move_to_queue(queue)  # to the end, as its unread bytes are about to be read
         return None
 
-    # --- clients that do not read their responses --------------------------------------------------
+    # --- connections from which reading is paused --------------------------------------------------
 
-    def mark_write_blocked(self, connection: ClientConnection) -> None:
-        """Record that reading from a connection is paused, as its client does not read its responses."""
-        self.write_blocked.add(connection)
+    def mark_paused(self, connection: ClientConnection) -> None:
+        """Record that reading from a connection is paused, so that the event loop reports no disconnect."""
+        self.paused.add(connection)
 
-    def unmark_write_blocked(self, connection: ClientConnection) -> None:
+    def unmark_paused(self, connection: ClientConnection) -> None:
         """Record that reading from a connection is resumed."""
-        self.write_blocked.discard(connection)
+        self.paused.discard(connection)
 
     def _detect_disconnects(self) -> None:
         """Handle clients that have disconnected while reading from them is paused.
 
         The event loop does not report such a disconnect, because it would have to read the bytes before it.
         """
-        for connection in [blocked for blocked in self.write_blocked if blocked.socket.has_peer_closed()]:
-            self.write_blocked.discard(connection)
+        for connection in [paused for paused in self.paused if paused.socket.has_peer_closed()]:
+            self.paused.discard(connection)
             connection.eof_received()
         self._disconnect_timer = self._loop.call_later(DISCONNECT_POLL_SECONDS, self._detect_disconnects)
 
--- a/gateway/frontend/listener.py
+++ b/gateway/frontend/listener.py
@@ -10,6 +10,7 @@
 from gateway.frontend.request_budget import RequestBudget
 from gateway.frontend.request_dispatcher import RequestDispatcher
 from gateway.frontend.request_metadata import RequestMetadataParser
+from gateway.read_scheduler import ReadScheduler
 
 if TYPE_CHECKING:
     from gateway.config import Config
@@ -37,6 +38,7 @@
         self.budget = RequestBudget(limits.max_buffered_bytes)
         self.socket_server: asyncio.Server | None = None
         self._driver = driver
+        self._read_scheduler = ReadScheduler(asyncio.get_running_loop())
         self._dispatcher = RequestDispatcher(
             driver,
             RequestMetadataParser(config.settings, config.max_request_units),
@@ -58,7 +60,7 @@
 
     def create_connection(self) -> ClientConnection:
         """Return the protocol of a new connection; called by the event loop."""
-        return ClientConnection(self.connection_table, self._dispatcher)
+        return ClientConnection(self.connection_table, self._dispatcher, self._read_scheduler)
 
     def is_ready(self) -> bool:
         """Return whether this process is not shutting down and has at least one endpoint."""
--- a/gateway/frontend/request_reader.py
+++ b/gateway/frontend/request_reader.py
@@ -89,6 +89,7 @@
 
     __slots__ = (
         "_body",
+        "_content_length",
         "_handler",
         "_header_bytes",
         "_headers",
@@ -110,6 +111,11 @@
         self._incomplete_bytes = 0  # bytes since the last read that completed a header or a part of a body
         self._start_request()
 
+    @property
+    def plain_body_bytes(self) -> int:
+        """The number of bytes that are still to come of a body that is not chunked."""
+        return self._content_length - len(self._body) if self._content_length else 0
+
     @property
     def is_receiving(self) -> bool:
         """Whether part of a request was received."""
@@ -126,9 +132,11 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._headers_complete = False
         self._header_bytes = 0
+        # Of the current body, and 0 if it is chunked or its headers are incomplete.
+        self._content_length = 0
         self._body: bytes | bytearray = b""
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: memoryview | bytes) -> None:
         """Parse received bytes and report the results to the handler.
 
         Raises:
@@ -184,6 +192,7 @@
     def discard_body(self) -> None:
         """Free the received part of the current body."""
         self._body = b""
+        self._content_length = 0
 
     def on_message_begin(self) -> None:
         """Start a request; reject it if the handler has closed the reader during this call of `feed`."""
@@ -215,11 +224,16 @@
     def on_headers_complete(self) -> None:
         """Check Content-Length and Expect before the body is received."""
         self._headers_complete = True
+        expects_continue = False
         for name, value in self._headers:
-            if name == request_headers.CONTENT_LENGTH and int(value) > MAX_BODY_BYTES:
-                raise BodyTooLargeError("body too large")
-            if name == EXPECT and value.lower() == CONTINUE_EXPECTED:
-                self._handler.continue_expected()
+            if name == request_headers.CONTENT_LENGTH:
+                self._content_length = int(value)
+            elif name == EXPECT and value.lower() == CONTINUE_EXPECTED:
+                expects_continue = True
+        if self._content_length > MAX_BODY_BYTES:
+            raise BodyTooLargeError("body too large")
+        if expects_continue:
+            self._handler.continue_expected()
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body, up to the size limit."""
@@ -234,6 +248,7 @@
             self.state = BETWEEN_REQUESTS
         self.bytes_since_request = 0
         self._incomplete_bytes = 0
+        self._content_length = 0
         self._handler.request_received(
             ReceivedRequest(
                 method=self._parser.get_method(),
--- /dev/null
+++ b/gateway/read_scheduler.py
@@ -0,0 +1,94 @@
+"""Shares the time of the event loop among connections whose received bytes may be costly to parse."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    import asyncio
+
+READ_BYTES = 4096  # of one read, as their parsing may cost a Python call for every few bytes
+BULK_READ_BYTES = 64 * 1024  # of one read whose parsing costs a fixed number of calls
+ITERATION_SECONDS = 0.005  # of parsing in one iteration of the event loop, after which reads are deferred
+RESET_SECONDS = ITERATION_SECONDS / 4  # of parsing after which the next iteration resets the count
+
+
+class DeferredReader(Protocol):
+    """A connection that has bytes to parse and does not read any more until they are parsed."""
+
+    def parse_deferred(self) -> None:
+        """Parse the bytes, then resume reading."""
+
+
+class ReadScheduler:
+    """Bounds the time for which the received bytes of a group of connections hold up the event loop.
+
+    In each iteration of the event loop, connections parse what they read until a time limit; the bytes of
+    all others are deferred, each connection's at most one read, and are parsed in later iterations.  Timers
+    and other connections run between the iterations.
+
+    Attributes:
+        buffer: The memory that all connections read into, one after another.
+    """
+
+    __slots__ = ("_long_reads", "_loop", "_read_buffer", "_run_is_due", "_short_reads", "_spent", "buffer")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.buffer = memoryview(bytearray(BULK_READ_BYTES))
+        self._read_buffer = self.buffer[:READ_BYTES]
+        self._loop = loop
+        self._spent = 0.0  # seconds of parsing since the count was last reset
+        self._run_is_due = False
+        self._short_reads: deque[DeferredReader] = deque()
+        self._long_reads: deque[DeferredReader] = deque()
+
+    def buffer_for(self, bulk_bytes: int) -> memoryview:
+        """Return the memory for one read of a connection.
+
+        Args:
+            bulk_bytes: Number of the next bytes whose parsing costs a fixed number of calls.
+        """
+        return self.buffer if bulk_bytes > READ_BYTES else self._read_buffer
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether the time limit of this iteration is reached, so that further reads are deferred."""
+        return self._spent >= ITERATION_SECONDS
+
+    def spend(self, seconds: float) -> None:
+        """Count the time of parsing one read."""
+        self._spent += seconds
+        if self._spent >= RESET_SECONDS:
+            self._run_soon()
+
+    def defer(self, reader: DeferredReader, *, is_long: bool) -> None:
+        """Have a connection parse its bytes later; those with a long read wait for those with a short one.
+
+        A usual request is short, so that it waits only for others that are short, and not for connections
+        that send as much as they can.
+        """
+        readers = self._long_reads if is_long else self._short_reads
+        readers.append(reader)
+        self._run_soon()
+
+    def _run_soon(self) -> None:
+        if not self._run_is_due:
+            self._run_is_due = True
+            self._loop.call_soon(self._run)
+
+    def _run(self) -> None:
+        """Reset the count, and parse deferred bytes until the time limit, at least those of one long read."""
+        self._run_is_due = False
+        self._spent = 0.0
+        if not self._short_reads and not self._long_reads:
+            return
+        self._run_soon()
+        deadline = time.perf_counter() + ITERATION_SECONDS
+        while self._short_reads and time.perf_counter() < deadline:
+            self._short_reads.popleft().parse_deferred()
+        while self._long_reads:
+            self._long_reads.popleft().parse_deferred()
+            if time.perf_counter() >= deadline:
+                break
--- a/tests/frontend/test_request_reader.py
+++ b/tests/frontend/test_request_reader.py
@@ -254,3 +254,20 @@
     with pytest.raises(BodyTooLargeError):
         feed_in_reads(reader, CHUNKED_HEAD + b"1;a=aaaaaaaaaaaa\r\nx\r\n" * (MAX_BODY_BYTES - 1))
     assert reader.bytes_since_request <= MAX_REQUEST_BYTES + READ_BYTES
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        pytest.param(POST[:-1], 1, id="plain body"),
+        pytest.param(POST[:-5], 0, id="incomplete headers"),
+        pytest.param(POST, 0, id="complete request"),
+        pytest.param(GET, 0, id="no body"),
+        pytest.param(CHUNKED_HEAD + b"5\r\nx", 0, id="chunked body"),
+    ],
+)
+def test_plain_body_bytes_are_those_that_are_still_to_come(
+    reader: RequestReader, data: bytes, expected: int
+) -> None:
+    reader.feed(data)
+    assert reader.plain_body_bytes == expected
--- /dev/null
+++ b/tests/process/test_small_pieces.py
@@ -0,0 +1,118 @@
+"""Peers that send many small pieces at full speed, while a usual client sends requests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from gateway.frontend.request_reader import MAX_BODY_BYTES
+from testbed.fake_endpoint import FakeEndpoint
+from testbed.fake_server import LOOPBACK
+from tests.support.event_loop import async_test
+from tests.support.gateway import gateway_with_client
+from tests.support.http_client import HttpClient
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from gateway.frontend.listener import Listener
+
+PEER_COUNT = 60
+MAX_HOLD_SECONDS = 0.15  # for which a gateway may be held up
+MEASURE_SECONDS = 1.0
+REQUEST_COUNT = 5
+HALF_OF_A_BODY = b"1\r\nx\r\n" * (MAX_BODY_BYTES - 1)
+READINESS_CHECK = b"GET /-/ready HTTP/1.1\r\n\r\n"
+
+
+class HoldMeter:
+    """Measures the longest processor time of one iteration of the event loop.
+
+    Processor time, unlike the time that passes, does not depend on what else the machine runs.
+    """
+
+    def __init__(self) -> None:
+        self.longest = 0.0
+        self.started_at = time.thread_time()
+
+    def end_iteration(self) -> None:
+        """Count the iteration that ends now."""
+        now = time.thread_time()
+        self.longest = max(self.longest, now - self.started_at)
+        self.started_at = now
+
+    async def run(self) -> None:
+        """Measure each iteration until cancelled."""
+        while True:
+            await asyncio.sleep(0)
+            self.end_iteration()
+
+
+@contextlib.asynccontextmanager
+async def hold_meter() -> AsyncIterator[HoldMeter]:
+    meter = HoldMeter()
+    task = asyncio.create_task(meter.run())
+    try:
+        yield meter
+    finally:
+        meter.end_iteration()
+        task.cancel()
+
+
+async def connect_peers(stack: contextlib.AsyncExitStack, listener: Listener) -> list[HttpClient]:
+    return [await stack.enter_async_context(HttpClient(listener)) for _ in range(PEER_COUNT)]
+
+
+# Guards against clients whose requests are not complete and cost a call for each byte: they held up the event
+# loop for seconds, and usual requests got no answer.
+@pytest.mark.parametrize(
+    ("pieces", "is_body"),
+    [
+        pytest.param(HALF_OF_A_BODY, True, id="one-byte chunks"),
+        pytest.param(READINESS_CHECK * 2000, False, id="readiness checks"),
+    ],
+)
+@async_test
+async def test_small_pieces_of_clients_do_not_hold_up_the_event_loop(pieces: bytes, *, is_body: bool) -> None:
+    async with gateway_with_client(FakeEndpoint()) as gateway, contextlib.AsyncExitStack() as stack:
+        peers = await connect_peers(stack, gateway.process.listener)
+        head = peers[0].encode_request(2, Content_Length="", Transfer_Encoding="chunked") if is_body else b""
+        async with hold_meter() as meter:
+            for peer in peers:
+                peer.writer.write(head + pieces)
+            for _ in range(REQUEST_COUNT):
+                assert (await gateway.client.send_request()).status == 200
+            await asyncio.sleep(MEASURE_SECONDS)
+    assert meter.longest < MAX_HOLD_SECONDS
+
+
+# Guards against a plain body that is split at the wrong place, as it is read in larger parts than its head.
+@pytest.mark.parametrize("size", [1, 4095, 4096, 4097, MAX_BODY_BYTES - 1, MAX_BODY_BYTES])
+@async_test
+async def test_bodies_of_each_size_pass_unchanged(size: int) -> None:
+    body = bytes(index % 251 for index in range(size))
+    endpoint = FakeEndpoint()
+    async with gateway_with_client(endpoint) as gateway:
+        assert (await gateway.client.send_request(2, body=body)).status == 200
+        assert (await gateway.client.send_request(2, body=body)).status == 200
+    assert [request.body for request in endpoint.requests] == [body, body]
+
+
+# Guards against a client that disconnects while its requests wait for those of others.
+@async_test
+async def test_no_request_of_a_client_that_has_gone_is_forwarded_later() -> None:
+    endpoint = FakeEndpoint()
+    async with gateway_with_client(endpoint) as gateway, contextlib.AsyncExitStack() as stack:
+        peers = await connect_peers(stack, gateway.process.listener)
+        head = peers[0].encode_request(2, Content_Length="", Transfer_Encoding="chunked")
+        for peer in peers:
+            peer.writer.write(head + HALF_OF_A_BODY)
+        _, writer = await asyncio.open_connection(LOOPBACK, gateway.client.port)
+        writer.write(gateway.client.encode_request())
+        writer.close()
+        await asyncio.sleep(MEASURE_SECONDS)
+    assert not endpoint.requests
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -42,7 +42,7 @@
 SETTINGS_MODULES = {"gateway.settings_parser", "gateway.settings_reader"}
 CONFIGURATION_MODULES = {"gateway.address", "gateway.config", "gateway.settings_parser"}
 CONNECTING_MODULES = {"gateway.backoff", "gateway.connector"}
-READING_MODULES = {"gateway.http_body"}
+READING_MODULES = {"gateway.http_body", "gateway.read_scheduler", "gateway.scheduled_protocol"}
 # The modules of this project that each layer may import.  The longest matching name determines the layer.
 ALLOWED_IMPORTS: dict[str, set[str]] = {
     "gateway.policy": {"gateway.policy"},
@@ -56,6 +56,8 @@
     "gateway.counter": POLICY_TYPES | CONFIGURATION_MODULES | CONNECTING_MODULES | {"gateway.counter"},
     "gateway.discovery": POLICY_TYPES | CONFIGURATION_MODULES | CONNECTING_MODULES | {"gateway.discovery"},
     "gateway.http_body": set(),
+    "gateway.read_scheduler": set(),
+    "gateway.scheduled_protocol": {"gateway.read_scheduler"},
     "gateway.upstream": POLICY_TYPES
     | CONFIGURATION_MODULES
     | CONNECTING_MODULES
