Bound the time for which endpoints' bytes hold up the event loop

The same cause as with clients, found on a related path: responses in one-byte chunks cost 15 ms each, and 60 of them that came at once held the event loop for 0.91 s, so that no timer and no client was served meanwhile.

Connections to endpoints now read as client connections do, with a scheduler of their own: 4 KB at a time, and deferred once the parsing in an iteration has taken 5 ms. The rest of a body with a Content-Length is read in one piece and never deferred, and a connection without an attempt is closed at once as before. Bytes that are not parsed yet belong to an attempt in progress, so an idle connection has none, and its check for unread bytes is unchanged.

OutgoingProtocol no longer decides how a connection is read, so that each protocol inherits from Protocol or BufferedProtocol beside it; a test's protocol now does so too.

--- a/gateway/connector.py
+++ b/gateway/connector.py
@@ -9,9 +9,11 @@
     from gateway.address import Address
 
 
-class OutgoingProtocol(asyncio.Protocol):
+class OutgoingProtocol(asyncio.BaseProtocol):
     """Base of the protocols of outgoing connections; each object serves one connection.
 
+    A subclass also inherits from `asyncio.Protocol` or `asyncio.BufferedProtocol`.
+
     Attributes:
         was_made: Whether `connection_made` was called.
     """
@@ -19,6 +21,7 @@
     __slots__ = ("was_made",)
 
     def __init__(self) -> None:
+        super().__init__()
         self.was_made = False
 
     def connection_made(self, _transport: asyncio.BaseTransport) -> None:
--- a/gateway/counter/transport.py
+++ b/gateway/counter/transport.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol, cast
+import asyncio
+from typing import Protocol, cast
 
 from gateway.connector import OutgoingProtocol
 
-if TYPE_CHECKING:
-    import asyncio
-
 
 class TransportObserver(Protocol):
     """What is notified of the events of a transport."""
@@ -26,7 +24,7 @@
         ...
 
 
-class CounterTransport(OutgoingProtocol):
+class CounterTransport(OutgoingProtocol, asyncio.Protocol):
     """One transport to the counter; it notifies its observer until it is lost or discarded.
 
     The event loop calls the methods of `asyncio.Protocol`.
--- a/gateway/discovery/watch_connection.py
+++ b/gateway/discovery/watch_connection.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 import logging
 import time
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import Protocol, cast
 
 import httptools
 
@@ -14,9 +15,6 @@
 from gateway.discovery import endpoint_keys
 from gateway.discovery.json_stream import JsonStream
 
-if TYPE_CHECKING:
-    import asyncio
-
 MAX_UPDATE_BYTES = 1 << 20  # for one endpoint list or delta; enough for thousands of endpoints
 
 log = logging.getLogger(__name__)
@@ -61,7 +59,7 @@
         ...
 
 
-class WatchConnection(OutgoingProtocol):
+class WatchConnection(OutgoingProtocol, asyncio.Protocol):
     """One connection to an agent, which parses HTTP responses and the JSON documents in them.
 
     The event loop calls the methods of `asyncio.Protocol`, and the HTTP parser calls the methods named
--- a/gateway/upstream/client.py
+++ b/gateway/upstream/client.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from gateway.policy.events import Outcome
+from gateway.read_scheduler import ReadScheduler
 from gateway.upstream.attempt import Attempt, AttemptResult
 from gateway.upstream.connection_pool import EndpointPool
 from gateway.upstream.load_report import LoadReportParser
@@ -33,6 +34,7 @@
         max_connections: Maximum number of connections to all endpoints together.
         idle_timeout: Seconds after which an idle connection is closed.
         load_report_parser: Parses the load reports of all endpoints.
+        read_scheduler: Bounds the time for which the responses of all endpoints are parsed.
         probe_request: The bytes of the HTTP request that a probe sends.
         pools: The connection pools by endpoint id.
         endpoint_id_by_address: The id of the endpoint that listens on each address.
@@ -52,6 +54,7 @@
         self.load_report_parser = LoadReportParser(report_columns)
         self.probe_request = PROBE_REQUEST_FORMAT % (LOAD_REPORT_TARGET if report_columns else HEALTH_TARGET)
         self.loop = asyncio.get_running_loop()
+        self.read_scheduler = ReadScheduler(self.loop)
         self.pools: dict[int, EndpointPool] = {}
         self.endpoint_id_by_address: dict[Address, int] = {}
         self.tasks: set[asyncio.Task[None]] = set()
--- a/gateway/upstream/connection.py
+++ b/gateway/upstream/connection.py
@@ -9,6 +9,8 @@
 
 from gateway.connector import OutgoingProtocol
 from gateway.policy.events import Outcome
+from gateway.read_scheduler import BULK_READ_BYTES
+from gateway.scheduled_protocol import ScheduledProtocol
 from gateway.upstream.attempt import Attempt, AttemptResult
 from gateway.upstream.errors import MalformedResponseError
 from gateway.upstream.response_parser import ResponseParser
@@ -16,6 +18,7 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from gateway.read_scheduler import ReadScheduler
     from gateway.upstream.load_report import LoadReportParser
 
 log = logging.getLogger(__name__)
@@ -26,6 +29,7 @@
 
     endpoint_id: int
     load_report_parser: LoadReportParser
+    read_scheduler: ReadScheduler
 
     @property
     def loop(self) -> asyncio.AbstractEventLoop:
@@ -38,10 +42,10 @@
         """Remove a closed connection from the pool."""
 
 
-class UpstreamConnection(OutgoingProtocol):
+class UpstreamConnection(ScheduledProtocol, OutgoingProtocol):
     """A connection to an endpoint; it serves one attempt at a time.
 
-    The event loop calls the methods of `asyncio.Protocol`; the pool and the attempt call the others.
+    The event loop calls the methods of `asyncio.BufferedProtocol`; the pool and the attempt call the others.
 
     Attributes:
         pool: The pool that the connection belongs to.
@@ -56,7 +60,7 @@
     __slots__ = ("attempt", "has_unsent_bytes", "idle_since", "parser", "poller", "pool", "transport")
 
     def __init__(self, pool: ConnectionOwner) -> None:
-        super().__init__()
+        super().__init__(pool.read_scheduler)
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
@@ -110,7 +114,21 @@
         """Record that all buffered bytes have been sent."""
         self.has_unsent_bytes = False
 
-    def data_received(self, data: bytes) -> None:
+    def bulk_bytes(self) -> int:
+        """Return how many of the next bytes cost a fixed number of calls to parse."""
+        return BULK_READ_BYTES if self.attempt is None else self.parser.plain_body_bytes
+
+    def update_reading(self) -> None:
+        """Pause reading while received bytes are not parsed yet, and resume it otherwise."""
+        if not self.is_open:
+            return
+        assert self.transport is not None
+        if self.has_deferred_bytes:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def parse(self, data: memoryview | bytes) -> None:
         """Parse received bytes, and finish the attempt if the response is complete."""
         if self.attempt is None:
             self.abort()  # data without a request in progress: response boundaries are no longer known
@@ -166,6 +184,7 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Leave the pool, and finish the attempt in progress, if any."""
         self.transport = None
+        self.discard_deferred()
         self.parser.close()
         self.pool.remove_connection(self)
         attempt = self.attempt
--- a/gateway/upstream/connection_pool.py
+++ b/gateway/upstream/connection_pool.py
@@ -15,6 +15,7 @@
     from collections.abc import Coroutine
 
     from gateway.address import Address
+    from gateway.read_scheduler import ReadScheduler
     from gateway.upstream.attempt import Attempt
     from gateway.upstream.load_report import LoadReportParser
 
@@ -29,6 +30,7 @@
     loop: asyncio.AbstractEventLoop
     connect_timeout: float
     load_report_parser: LoadReportParser
+    read_scheduler: ReadScheduler
 
     def reserve_connection(self, connections_in_pool: int) -> bool:
         """Count a new connection if the limits allow it; return whether they do."""
@@ -49,6 +51,7 @@
         address: The address that the endpoint listens on.
         started_at: The start time of the endpoint as discovery reports it.
         load_report_parser: Parses the load reports of the endpoint.
+        read_scheduler: Bounds the time for which responses are parsed.
         idle_connections: Idle connections, the longest idle first; the most recently used is reused first.
         connections: All open connections.
         waiting_attempts: Attempts that wait for a connection.
@@ -62,6 +65,7 @@
         self.address = address
         self.started_at = started_at
         self.load_report_parser = owner.load_report_parser
+        self.read_scheduler = owner.read_scheduler
         self.idle_connections: deque[UpstreamConnection] = deque()
         self.connections: set[UpstreamConnection] = set()
         self.waiting_attempts: set[Attempt] = set()
--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -99,7 +99,12 @@
         """Whether the final response is complete."""
         return self.state is COMPLETE
 
-    def feed(self, data: bytes) -> None:
+    @property
+    def plain_body_bytes(self) -> int:
+        """The number of bytes that are still to come of a body with a Content-Length."""
+        return self.content_length - len(self.body) if self.state is BODY and self.content_length else 0
+
+    def feed(self, data: memoryview | bytes) -> None:
         """Parse received bytes.
 
         Bytes after a complete response do not invalidate it, but the connection cannot be reused.
--- a/tests/process/test_small_pieces.py
+++ b/tests/process/test_small_pieces.py
@@ -11,10 +11,12 @@
 
 from gateway.frontend.request_reader import MAX_BODY_BYTES
 from testbed.fake_endpoint import FakeEndpoint
-from testbed.fake_server import LOOPBACK
+from testbed.fake_server import LOOPBACK, FakeServer
+from testbed.http_messages import read_message
 from tests.support.event_loop import async_test
-from tests.support.gateway import gateway_with_client
+from tests.support.gateway import gateway_with_client, running_gateway
 from tests.support.http_client import HttpClient
+from tests.support.scripted_policy import forward_to_first
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -90,6 +92,38 @@
     assert meter.longest < MAX_HOLD_SECONDS
 
 
+class ChunkingEndpoint(FakeServer):
+    """Responds in one-byte chunks, to all requests at the same moment."""
+
+    def __init__(self) -> None:
+        self.request_count = 0
+        self.all_received = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_message(reader)
+        self.request_count += 1
+        if self.request_count == PEER_COUNT:
+            self.all_received.set()
+        await self.all_received.wait()
+        head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head + b"1\r\nx\r\n" * MAX_BODY_BYTES + b"0\r\n\r\n")
+        await reader.read()
+
+
+# As above, for endpoints whose responses cost a call for each byte.
+@async_test
+async def test_small_pieces_of_responses_do_not_hold_up_the_event_loop() -> None:
+    async with (
+        running_gateway(ChunkingEndpoint(), react=forward_to_first) as (process, _),
+        contextlib.AsyncExitStack() as stack,
+    ):
+        clients = await connect_peers(stack, process.listener)
+        async with hold_meter() as meter:
+            responses = await asyncio.gather(*(client.send_request() for client in clients))
+    assert {response.body for response in responses} == {b"x" * MAX_BODY_BYTES}
+    assert meter.longest < MAX_HOLD_SECONDS
+
+
 # Guards against a plain body that is split at the wrong place, as it is read in larger parts than its head.
 @pytest.mark.parametrize("size", [1, 4095, 4096, 4097, MAX_BODY_BYTES - 1, MAX_BODY_BYTES])
 @async_test
--- a/tests/test_connector.py
+++ b/tests/test_connector.py
@@ -19,7 +19,7 @@
 TIMEOUT_SECONDS = 0.02
 
 
-class RecordingProtocol(OutgoingProtocol):
+class RecordingProtocol(OutgoingProtocol, asyncio.Protocol):
     """Records the calls of the event loop, and runs a callback as the connection is made."""
 
     def __init__(self, on_made: Callable[[], object] = lambda: None) -> None:
