Bound the time for which an agent's bytes hold up the event loop

The same cause as with clients, found on a related path: an agent of discovery that sends a list or an update in small pieces held the loop for seconds, in which no request was answered.

Connections read as those of clients do, with a scheduler.

--- a/gateway/discovery/connection_set.py
+++ b/gateway/discovery/connection_set.py
@@ -8,6 +8,7 @@
 
 from gateway.connector import connect
 from gateway.discovery.watch_connection import WatchConnection, WatchConsumer, WatchState
+from gateway.read_scheduler import ReadScheduler
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -35,6 +36,7 @@
         self._loop = loop
         self._address = address
         self._max_connections = max_connections
+        self._read_scheduler = ReadScheduler(loop)
         self._tasks: dict[WatchConnection, asyncio.Task[None]] = {}
 
     def __len__(self) -> int:
@@ -49,7 +51,7 @@
         """Start to open a connection; at the bound, first close the oldest one other than `keep`."""
         while len(self) >= self._max_connections:
             self.close(next(oldest for oldest in self if oldest is not keep))
-        connection = WatchConnection(self._consumer, self._loop)
+        connection = WatchConnection(self._consumer, self._loop, self._read_scheduler)
         task = self._loop.create_task(self._run(connection))
         self._tasks[connection] = task
         task.add_done_callback(lambda _: self._tasks.pop(connection, None))
--- a/tests/discovery/test_watch_connection.py
+++ b/tests/discovery/test_watch_connection.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
-from typing import TYPE_CHECKING
 
 import pytest
 
@@ -18,9 +18,9 @@
     update_json,
 )
 from tests.support.event_loop import async_test, until
+from tests.support.hold_meter import MAX_HOLD_SECONDS, hold_meter
 
-if TYPE_CHECKING:
-    import asyncio
+SETTLE_SECONDS = 0.3
 
 
 class ChunkedTextAgent(FakeDiscoveryAgent):
@@ -79,3 +79,72 @@
     async with discovery_client_for(agent.handle) as (_, received):
         await until(lambda: len(agent.targets) == 2)
         assert not received.updates
+
+
+class PiecesAgent(FakeDiscoveryAgent):
+    """An agent that sends given bytes of chunks on its first watch, all at once, and then nothing."""
+
+    def __init__(self, snapshot: bytes, pieces: bytes) -> None:
+        super().__init__(snapshot=snapshot)
+        self.pieces = pieces
+        self.are_sent = False
+
+    async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(END_OF_HEAD)
+        writer.write(http_response(body=self.snapshot))
+        await reader.readuntil(END_OF_HEAD)
+        writer.write(CHUNKED_RESPONSE_HEAD)
+        if not self.are_sent:
+            writer.write(self.pieces)
+            await writer.drain()
+            self.are_sent = True
+        await reader.read()
+
+
+def one_byte_chunks(text: bytes) -> bytes:
+    return b"".join(b"1\r\n%c\r\n" % byte for byte in text)
+
+
+def one_chunk(text: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+# Guards against an agent that holds up the event loop: each piece costs the time of all that came before.
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        pytest.param(one_byte_chunks(b'{"' + b"a" * 30_000), id="string in one-byte chunks"),
+        pytest.param(one_byte_chunks(b'{"' + b'\\"' * 15_000), id="escapes in one-byte chunks"),
+        pytest.param(one_chunk(b'"' + b'\\"' * 30_000 + b"\n"), id="string that a newline cuts off"),
+        pytest.param(one_chunk(b"\n" * 250_000), id="heartbeats"),
+        pytest.param(one_chunk(b"{}" * 20_000), id="documents that are not updates"),
+        pytest.param(one_chunk(b"[" * 250_000), id="brackets"),
+    ],
+)
+@async_test
+async def test_small_pieces_of_an_agent_do_not_hold_up_the_event_loop(pieces: bytes) -> None:
+    snapshot = update_json(FIRST_VERSION, host_entry("s-00000007", "127.0.0.1:81"), is_snapshot=True)
+    agent = PiecesAgent(snapshot, pieces)
+    async with hold_meter() as meter, discovery_client_for(agent.handle) as (_, received):
+        await until(lambda: agent.are_sent)
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert received.versions[0] == FIRST_VERSION
+    assert meter.longest < MAX_HOLD_SECONDS
+
+
+# As above, for a list that comes in a chunk for each byte; it is in force all the same.
+@async_test
+async def test_a_snapshot_in_one_byte_chunks_does_not_hold_up_the_event_loop() -> None:
+    hosts = [host_entry(f"s-{number:08x}", "127.0.0.1:81") for number in range(1500)]
+    snapshot = update_json(FIRST_VERSION, *hosts, is_snapshot=True)
+    response = CHUNKED_RESPONSE_HEAD + one_byte_chunks(snapshot) + b"0\r\n\r\n"
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(END_OF_HEAD)
+        writer.write(response)
+        await reader.read()
+
+    async with hold_meter() as meter, discovery_client_for(handle) as (_, received):
+        await until(lambda: received.updates)
+        assert len(received.updates[0].records) == len(hosts)
+    assert meter.longest < MAX_HOLD_SECONDS
--- a/tests/process/test_small_pieces.py
+++ b/tests/process/test_small_pieces.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import time
 from typing import TYPE_CHECKING
 
 import pytest
@@ -15,56 +14,20 @@
 from testbed.http_messages import read_message
 from tests.support.event_loop import async_test
 from tests.support.gateway import gateway_with_client, running_gateway
+from tests.support.hold_meter import MAX_HOLD_SECONDS, hold_meter
 from tests.support.http_client import HttpClient
 from tests.support.scripted_policy import forward_to_first
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from gateway.frontend.listener import Listener
 
 PEER_COUNT = 60
-MAX_HOLD_SECONDS = 0.15  # for which a gateway may be held up
 MEASURE_SECONDS = 1.0
 REQUEST_COUNT = 5
 HALF_OF_A_BODY = b"1\r\nx\r\n" * (MAX_BODY_BYTES - 1)
 READINESS_CHECK = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
 
-class HoldMeter:
-    """Measures the longest processor time of one iteration of the event loop.
-
-    Processor time, unlike the time that passes, does not depend on what else the machine runs.
-    """
-
-    def __init__(self) -> None:
-        self.longest = 0.0
-        self.started_at = time.thread_time()
-
-    def end_iteration(self) -> None:
-        """Count the iteration that ends now."""
-        now = time.thread_time()
-        self.longest = max(self.longest, now - self.started_at)
-        self.started_at = now
-
-    async def run(self) -> None:
-        """Measure each iteration until cancelled."""
-        while True:
-            await asyncio.sleep(0)
-            self.end_iteration()
-
-
-@contextlib.asynccontextmanager
-async def hold_meter() -> AsyncIterator[HoldMeter]:
-    meter = HoldMeter()
-    task = asyncio.create_task(meter.run())
-    try:
-        yield meter
-    finally:
-        meter.end_iteration()
-        task.cancel()
-
-
 async def connect_peers(stack: contextlib.AsyncExitStack, listener: Listener) -> list[HttpClient]:
     return [await stack.enter_async_context(HttpClient(listener)) for _ in range(PEER_COUNT)]
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -54,7 +54,11 @@
     "gateway.backoff": set(),
     "gateway.connector": {"gateway.address"},
     "gateway.counter": POLICY_TYPES | CONFIGURATION_MODULES | CONNECTING_MODULES | {"gateway.counter"},
-    "gateway.discovery": POLICY_TYPES | CONFIGURATION_MODULES | CONNECTING_MODULES | {"gateway.discovery"},
+    "gateway.discovery": POLICY_TYPES
+    | CONFIGURATION_MODULES
+    | CONNECTING_MODULES
+    | READING_MODULES
+    | {"gateway.discovery"},
     "gateway.http_body": set(),
     "gateway.read_scheduler": set(),
     "gateway.scheduled_protocol": {"gateway.read_scheduler"},
