Reject a counter's reply that contains others before it is parsed

A map with an array as its key raised TypeError, which the client does not handle.

No reply of the counter is an array, a map, a set, a push or an attribute. The parser now rejects the start of one, which is only at the start of a line, and the connection is closed and opened again, as for other malformed replies. A reply of the usual length costs one search of a short expression more.

All seven cases of test_replies_that_contain_others_raise_an_error failed before. A thousand nested arrays and 64,000 unmatched replies were rejected already.

--- a/gateway/counter/resp.py
+++ b/gateway/counter/resp.py
@@ -26,6 +26,9 @@
 MAX_REPLY_BYTES = 64 * 1024  # far longer than any valid reply
 # Excludes nan and inf, which would make every later sum of the customer nan or inf as well.
 TOTAL_PATTERN = re.compile(rb"-?\d{1,20}(\.\d{1,20})?([eE][+-]?\d{1,2})?")
+# The start of a reply that contains others, such as an array.  No reply is one, and hiredis would allocate as
+# many entries as it announces.
+AGGREGATE = re.compile(rb"(?:\A|\n)[*%~>|]")
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +80,7 @@
     def __init__(self) -> None:
         self._reader = hiredis.Reader()
         self._bytes_since_reply = 0
+        self._last_byte = b"\n"  # of what was received so far; a reply follows a newline
 
     def feed(self, data: bytes) -> Iterator[Reply]:
         """Add received bytes, and yield each reply that they complete.
@@ -84,6 +88,9 @@
         Raises:
             MalformedReplyError: The bytes are not valid RESP, or a reply is too long.
         """
+        if AGGREGATE.search(self._last_byte + data):
+            raise MalformedReplyError(f"reply that contains others: {reprlib.repr(data)}")
+        self._last_byte = data[-1:]
         self._bytes_since_reply += len(data)
         for raw in self._read(data):
             self._bytes_since_reply = 0
--- a/tests/counter/test_resp.py
+++ b/tests/counter/test_resp.py
@@ -61,3 +61,30 @@
     with pytest.raises(MalformedReplyError, match=text) as raised:
         list(ReplyParser().feed(data))
     assert isinstance(raised.value, CounterError)
+
+
+# Guards against a reply of a few bytes that makes hiredis allocate gigabytes, or raise an unexpected error.
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        pytest.param([b"*1000000\r\n"], id="array"),
+        pytest.param([b"+PONG\r\n*1000000\r\n"], id="array after a reply"),
+        pytest.param([b"+PONG\r\n", b"*1000000\r\n"], id="array in a read of its own"),
+        pytest.param([b"%1\r\n*0\r\n:1\r\n"], id="map with an array as key"),
+        pytest.param([b"~1\r\n"], id="set"),
+        pytest.param([b">1\r\n"], id="push"),
+        pytest.param([b"|1\r\n"], id="attribute"),
+    ],
+)
+def test_replies_that_contain_others_raise_an_error(pieces: list[bytes]) -> None:
+    *earlier, last = pieces
+    parser = ReplyParser()
+    for piece in earlier:
+        list(parser.feed(piece))
+    with pytest.raises(MalformedReplyError, match="contains others"):
+        list(parser.feed(last))
+
+
+def test_an_error_text_may_contain_the_start_of_an_array() -> None:
+    (reply,) = ReplyParser().feed(b"-ERR unknown call *1 %2\r\n")
+    assert reply == ErrorReply("ERR unknown call *1 %2")
