Answer a request at the read timeout whose bytes wait to be parsed

Found by reading the bounded reads: a client whose whole request was read, but whose bytes still waited to be parsed when the read timeout passed, was closed without an answer, as the reader had not seen any of them. Such a client now gets 408 as others do.

A connection that is aborted also discards such bytes at once, so that no request of it is parsed before the event loop reports it as lost.

test_deferred_bytes_are_answered_at_the_read_timeout failed before: the connection was closed without a response.

--- a/gateway/discovery/watch_connection.py
+++ b/gateway/discovery/watch_connection.py
@@ -193,10 +193,11 @@
     def _fail(self, reason: str) -> None:
         if self._transport is not None and not self._transport.is_closing():
             log.warning("discovery: watch ended: %s", reason)
-            self._transport.abort()
+            self.abort()
 
     def abort(self) -> None:
-        """Close the transport immediately, if there is one."""
+        """Close the transport immediately, if there is one; bytes that are not parsed yet are lost."""
+        self.discard_deferred()
         if self._transport is not None:
             self._transport.abort()
 
--- a/gateway/frontend/client_connection.py
+++ b/gateway/frontend/client_connection.py
@@ -241,7 +241,8 @@
             self.move_to_queue(self._registry.receiving if is_receiving else self._registry.idle_connections)
 
     def abort(self) -> None:
-        """Close the connection at once; unsent bytes are lost."""
+        """Close the connection at once; unsent bytes, and received ones that are not parsed, are lost."""
+        self.discard_deferred()
         self.move_to_queue(None)
         self.socket.abort()
 
--- a/gateway/frontend/connection_table.py
+++ b/gateway/frontend/connection_table.py
@@ -144,7 +144,8 @@
         for queue in (self.new_connections, self.receiving):
             for connection in _pop_overdue(queue, READ_TIMEOUT_SECONDS):
                 # Bytes before a request, such as empty lines, get an error response too.
-                if connection.reader.is_receiving or connection.reader.bytes_since_request:
+                reader = connection.reader
+                if reader.is_receiving or reader.bytes_since_request or connection.has_deferred_bytes:
                     connection.reject(error)
                 else:
                     connection.abort()
--- a/gateway/scheduled_protocol.py
+++ b/gateway/scheduled_protocol.py
@@ -71,7 +71,7 @@
     def parse_deferred(self) -> None:
         """Parse the bytes, then resume reading; called by the scheduler."""
         data = self._deferred_bytes
-        if not data:  # the connection was lost meanwhile
+        if not data:  # they were discarded meanwhile
             return
         self._deferred_bytes = b""
         self._is_throttled = len(data) >= READ_BYTES
@@ -81,5 +81,5 @@
             self.update_reading()
 
     def discard_deferred(self) -> None:
-        """Forget received bytes that are not parsed yet, as the connection is lost."""
+        """Forget received bytes that are not parsed yet, as the connection is lost or about to be closed."""
         self._deferred_bytes = b""
--- a/gateway/upstream/connection.py
+++ b/gateway/upstream/connection.py
@@ -178,6 +178,7 @@
 
     def abort(self) -> None:
         """Close the connection immediately and discard unsent bytes."""
+        self.discard_deferred()
         if self.transport is not None:
             self.transport.abort()
 
--- a/tests/process/test_small_pieces.py
+++ b/tests/process/test_small_pieces.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gateway.frontend.request_reader import MAX_BODY_BYTES
+from gateway.read_scheduler import ITERATION_SECONDS, ReadScheduler
 from testbed.fake_endpoint import FakeEndpoint
 from testbed.fake_server import LOOPBACK, FakeServer
 from testbed.http_messages import read_message
@@ -113,3 +114,14 @@
         writer.close()
         await asyncio.sleep(MEASURE_SECONDS)
     assert not endpoint.requests
+
+
+# Guards against bytes that were read, but wait to be parsed, when the time for their request is up.
+@async_test
+async def test_deferred_bytes_are_answered_at_the_read_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ReadScheduler, "_run", lambda _: None)  # deferred bytes are never parsed
+    async with gateway_with_client(FakeEndpoint()) as gateway:
+        for connection in gateway.process.listener.connection_table.connections:
+            connection._read_scheduler.spent = ITERATION_SECONDS  # noqa: SLF001  # all reads are deferred
+        response = await gateway.client.send_request()
+    assert response.status == 408
