Reject an update of very many short endpoints before it is decoded

Found on a related path of the held event loop: an update of 1 MB whose 500,000 endpoints are all malformed held it for 6.1 s, as each was skipped with an error and a line of the log that the rate limit then dropped.

Of the malformed endpoints of one update, eight are logged and the others counted, so that one update does not use up the log's rate for all else.

--- a/gateway/discovery/endpoint_decoder.py
+++ b/gateway/discovery/endpoint_decoder.py
@@ -23,6 +23,9 @@
 HEX_DIGITS = frozenset("0123456789abcdef")
 ENDPOINT_ID_BYTES = 4
 MILLISECONDS_PER_SECOND = 1000
+MIN_ENDPOINT_BYTES = 64  # of a document, for each endpoint; one with all its keys has more
+MAX_SHORT_ENDPOINTS = 1000  # of a document, whose endpoints may have fewer bytes
+MAX_LOGGED_ENDPOINTS = 8  # malformed ones of one update; the others are counted
 
 log = logging.getLogger(__name__)
 Value = TypeVar("Value")
@@ -77,7 +80,9 @@
             MalformedUpdateError: The document is not JSON or not an update.
         """
         try:
-            return self.decode_update(json.loads(document))
+            raw = json.loads(document)
+            _check_endpoint_count(raw, len(document))
+            return self.decode_update(raw)
         except MalformedUpdateError:
             raise
         except (ValueError, RecursionError) as error:
@@ -119,16 +124,21 @@
 
     def _decode_valid(self, hosts: list[Any]) -> list[DecodedEndpoint]:
         endpoints = []
+        skipped_count = 0
         for raw in hosts:
             try:
                 endpoint = self.decode_record(raw)
             except MalformedEndpointError as error:
-                log.warning("discovery: endpoint skipped: %s", error)
+                skipped_count += 1
+                if skipped_count <= MAX_LOGGED_ENDPOINTS:
+                    log.warning("discovery: endpoint skipped: %s", error)
                 continue
             endpoints.append(endpoint)
             if endpoint.record.state is EndpointState.GONE:
                 # Ids are never reused, so the names of gone endpoints would accumulate.
                 del self.host_names[endpoint.record.endpoint_id]
+        if skipped_count > MAX_LOGGED_ENDPOINTS:
+            log.warning("discovery: endpoints skipped: %d in all", skipped_count)
         return endpoints
 
     def decode_record(self, raw: Any) -> DecodedEndpoint:
@@ -181,6 +191,18 @@
     return name
 
 
+def _check_endpoint_count(raw: Any, size: int) -> None:
+    """Reject a document of so many endpoints that most of them cannot have all their keys.
+
+    Skipping hundreds of thousands of them one by one would hold up the event loop for seconds.
+    """
+    hosts = raw.get(keys.RECORDS) if isinstance(raw, dict) else None
+    if not isinstance(hosts, list) or len(hosts) <= MAX_SHORT_ENDPOINTS:
+        return
+    if len(hosts) * MIN_ENDPOINT_BYTES > size:
+        raise MalformedUpdateError(f"{len(hosts)} endpoints in {size} bytes")
+
+
 def _update_kind(raw: dict[str, Any], *, cached: bool) -> UpdateKind:
     if cached:
         return UpdateKind.CACHED
--- a/tests/discovery/test_endpoint_decoder.py
+++ b/tests/discovery/test_endpoint_decoder.py
@@ -11,7 +11,12 @@
 
 from gateway.address import Address
 from gateway.discovery import endpoint_decoder
-from gateway.discovery.endpoint_decoder import EndpointDecoder, derive_endpoint_id
+from gateway.discovery.endpoint_decoder import (
+    MAX_LOGGED_ENDPOINTS,
+    MAX_SHORT_ENDPOINTS,
+    EndpointDecoder,
+    derive_endpoint_id,
+)
 from gateway.discovery.errors import DiscoveryError, MalformedEndpointError, MalformedUpdateError
 from testbed.fake_discovery import host_entry
 from tests.support.discovery import FIRST_ENDPOINT, FIRST_ENDPOINT_ID, make_decoder
@@ -106,3 +111,27 @@
         decoder.decode_record(FIRST_ENDPOINT | {field: value})
     assert str(raised.value) == f"host 's-00000007' has an invalid {field}: {reprlib.repr(value)}"
     assert isinstance(raised.value, DiscoveryError)
+
+
+# Guards against an update that holds up the event loop for seconds, as its endpoints are skipped one by one.
+@pytest.mark.parametrize("endpoint", [pytest.param(b"0", id="number"), pytest.param(b"{}", id="object")])
+def test_an_update_of_very_many_short_endpoints_is_malformed(
+    decoder: EndpointDecoder, endpoint: bytes
+) -> None:
+    document = b'{"seq":1,"whole":false,"hosts":[%s]}' % b",".join([endpoint] * (MAX_SHORT_ENDPOINTS + 1))
+    with pytest.raises(MalformedUpdateError, match=f"{MAX_SHORT_ENDPOINTS + 1} endpoints in"):
+        decoder.decode_document(document)
+
+
+def test_short_endpoints_of_a_small_update_are_skipped(decoder: EndpointDecoder) -> None:
+    document = b'{"seq":1,"whole":false,"hosts":[%s]}' % b",".join([b"{}"] * MAX_SHORT_ENDPOINTS)
+    assert decoder.decode_document(document).update.records == ()
+
+
+# Guards against the time and the rate limit of the log, which one update used up for all others.
+def test_few_malformed_endpoints_of_an_update_are_logged(
+    decoder: EndpointDecoder, caplog: pytest.LogCaptureFixture
+) -> None:
+    decoder.decode_update({"seq": 1, "whole": False, "hosts": [{}] * (MAX_LOGGED_ENDPOINTS + 2)})
+    assert len(caplog.records) == MAX_LOGGED_ENDPOINTS + 1
+    assert caplog.records[-1].getMessage() == "discovery: endpoints skipped: 10 in all"
