--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,14 +11,14 @@
 
 FOLDER = Path(__file__).resolve().parent
 SERVERS, GATEWAYS, CUSTOMERS = 4, 3, 24
-RATE, BURST = 5.0, 10.0  # of the quota
+RATE, BURST = 1.2, 6.0  # of the quota; the page has 0.85 to 1.5 a second, and 3.5 to 5.3 s worth of it
 CEILING = 1.2  # times rate and burst
 CEILING_RATE, CEILING_BURST = CEILING * RATE, CEILING * BURST
-SLACK = 0.1 * CEILING_BURST
+SLACK = max(1.0, 0.1 * CEILING_BURST)  # the largest request at least
 SPIKE_SECONDS = 4.6  # the page has 0.54 to 4.6 s
 SPIKE_TIMES = 7.0 if TROUBLE else 0.8  # of the rate; the page has up to 7.3
-SPIKE_EVERY_SECONDS = 18.0  # the site file has 10 to 18 s
-SPIKES = 5  # of each customer
+SPIKE_EVERY_SECONDS = 12.0  # the site file has 10 to 18 s
+SPIKES = 6  # of each customer
 ROUNDING = 1e-6
 
 
@@ -31,7 +31,7 @@
         ceiling = {"never_over_rate": CEILING_RATE, "hard_burst": CEILING_BURST, "ceiling_slack": SLACK}
         settings = make_settings(
             [request_class("listing-read", "safe", 1.5), request_class("copy-hold", "keyed", 2.5)],
-            [plan("standard", RATE, BURST, pays=1.3, over_cost=0.6, **ceiling)],
+            [plan("bas", RATE, BURST, pays=0.88, **ceiling)],
             GATEWAYS,
         )
         self.stage = Stage(FOLDER, settings, SERVERS, GATEWAYS)
@@ -74,7 +74,7 @@
         gateway = self.random.choice(self.stage.gateways)
         pool = self.pools[gateway.name]
         client = pool.pop() if pool else Client(gateway)
-        ask = Ask(request_id, plan="standard", customer=customer, spread=GATEWAYS)
+        ask = Ask(request_id, plan="bas", customer=customer, spread=GATEWAYS)
         self.customer_of[ask.request_id] = customer
         self.stage.note_reply(await client.ask(ask))
         if client.writer is not None:
