--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -31,6 +31,7 @@
 OK, REFUSED = 200, (429, 503)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 READY_SECONDS = 30.0
+RUN_SECONDS = 117.0  # of a whole case
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 HEAD_END = b"\r\n\r\n"
 SERVER_LOST = (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError)
@@ -820,7 +821,7 @@
     logging.getLogger("asyncio").setLevel(logging.ERROR)
     try:
         faults = asyncio.run(_limited(case))
-    except Exception as error:  # whatever it is, it is no result
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, it is no result
         message = f"could not run: {type(error).__name__}: {error}"
         (record_folder / "record.txt").open("a").write(message + "\n")
         sys.stdout.write(f"{message}\n")
@@ -833,5 +834,8 @@
 
 
 async def _limited(case: Callable[[], Awaitable[list[str]]]) -> list[str]:
-    async with asyncio.timeout(115.0):
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # to end the processes
+    async with asyncio.timeout(RUN_SECONDS):
         return await case()
