--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A second copy of an answer comes 12 ms late: a client gets another client's answer."""
+"""Second copies of answers come some milliseconds late: they are taken for the answers to other requests."""
 
 from __future__ import annotations
 
@@ -28,7 +28,9 @@
 RUN_SECONDS = 60.0
 REQUESTS_PER_SECOND = 150.0
 WORK_SECONDS = 0.03
-KEYED_SHARE = 0.31
+KEYED_SHARE, UNSAFE_SHARE = 0.25, 0.2
+TURNED_AWAY_SHARE = 0.1  # of the attempts, as their queues are full
+TURNED_AWAY = b"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
 NETWORK_SECONDS = 0.0015  # one way; the site files have 1.4 to 2.6 ms between zones
 COPY_SHARE = 0.1  # of the answers
 COPY_DELAY_SECONDS = 0.0095  # "some milliseconds"; timers make it 10 to 12 ms
@@ -43,6 +45,7 @@
             [
                 request_class("listing-read", "safe", 1.5),
                 request_class("copy-hold", "keyed", 2.5, worth=2.0, late_value=0.2),
+                request_class("pay-out", "unsafe", 2.4, worth=4.0),
             ],
             [plan("stor", 25.0, 32.0, pays=1.4)],
             GATEWAYS,
@@ -65,19 +68,29 @@
 
     async def serve(self, server: Server, arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
         """Answer; sometimes send the answer once more when nothing else waits on the connection."""
-        await asyncio.sleep(NETWORK_SECONDS + self.random.expovariate(1 / WORK_SECONDS) + NETWORK_SECONDS)
-        answer = ok_answer(body_for(server.name, arrival.request_id))
+        await asyncio.sleep(2 * NETWORK_SECONDS)
+        if self.random.random() < TURNED_AWAY_SHARE:
+            answer = TURNED_AWAY
+            arrival.outcome = "turned away"
+        else:
+            await asyncio.sleep(self.random.expovariate(1 / WORK_SECONDS))
+            answer = ok_answer(body_for(server.name, arrival.request_id))
+            arrival.outcome = "answered"
         writer.write(answer)
-        arrival.outcome = "answered"
         answered_at = time.perf_counter()
         if TROUBLE and self.random.random() < COPY_SHARE:
-            task = asyncio.ensure_future(self.send_copy(server, arrival, writer, answered_at))
+            task = asyncio.ensure_future(self.send_copy(server, arrival, writer, answer, answered_at))
             self.background.add(task)
             task.add_done_callback(self.background.discard)
         return True
 
     async def send_copy(
-        self, server: Server, arrival: Arrival, writer: asyncio.StreamWriter, answered_at: float
+        self,
+        server: Server,
+        arrival: Arrival,
+        writer: asyncio.StreamWriter,
+        answer: bytes,
+        answered_at: float,
     ) -> None:
         """Send an answer again if no byte has come on the connection; the copy is on its way for a while."""
         await asyncio.sleep(COPY_DELAY_SECONDS - NETWORK_SECONDS)
@@ -86,8 +99,8 @@
         await asyncio.sleep(NETWORK_SECONDS)
         if writer.is_closing():
             return
-        writer.write(ok_answer(body_for(server.name, arrival.request_id)))
-        delay = time.perf_counter() - answered_at
+        writer.write(answer)
+        delay = time.perf_counter() - since
         self.copy_delays[arrival.request_id] = delay
         self.stage.record.add(
             f"{server.name} sent the answer to {arrival.request_id} again after {1000 * delay:.1f} ms"
@@ -108,7 +121,10 @@
         pool = self.pools[gateway.name]
         client = pool.pop() if pool else Client(gateway)
         ask = Ask(f"r{number}", customer=1 + number % CUSTOMERS, spread=GATEWAYS)
-        if self.random.random() < KEYED_SHARE:
+        chance = self.random.random()
+        if chance < UNSAFE_SHARE:
+            ask.class_name, ask.method, ask.seconds = "pay-out", "POST", 2.4
+        elif chance < UNSAFE_SHARE + KEYED_SHARE:
             ask.class_name, ask.method, ask.seconds, ask.key = "copy-hold", "POST", 2.5, f"key-{number}"
         self.stage.note_reply(await client.ask(ask))
         if client.writer is not None:
@@ -124,7 +140,7 @@
         self.stage.record.section("second copies", lines)
 
     def find_faults(self) -> list[str]:
-        """Return the answers of 200 that no server made for the request."""
+        """Return the answers of 200 that no server made for the request, and the requests that ran twice."""
         names = [server.name for server in self.stage.servers]
         faults = []
         for reply in self.stage.replies:
@@ -133,6 +149,12 @@
                 delay = 1000 * self.copy_delays.get(reply.body.decode().split()[-1], 0.0)
                 text = f"{reply.ask.request_id} was served with {reply.body.decode()!r}"
                 faults.append(f"{text}, sent again after {delay:.1f} ms" if delay else text)
+        ran: dict[str, int] = {}
+        for arrival in self.stage.arrivals:
+            if arrival.headers["request-class"] == "pay-out" and arrival.outcome != "turned away":
+                ran[arrival.request_id] = ran.get(arrival.request_id, 0) + 1
+        repeated = [request_id for request_id, times in ran.items() if times > 1]
+        faults += [f"{request_id}, which is unsafe to repeat, ran more than once" for request_id in repeated]
         return faults
 
 
