--- a/review/6/case.py
+++ b/review/6/case.py
@@ -100,7 +100,7 @@
         if writer.is_closing():
             return
         writer.write(answer)
-        delay = time.perf_counter() - since
+        delay = time.perf_counter() - answered_at
         self.copy_delays[arrival.request_id] = delay
         self.stage.record.add(
             f"{server.name} sent the answer to {arrival.request_id} again after {1000 * delay:.1f} ms"
