--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Second copies of answers come some milliseconds late: they are taken for the answers to other requests."""
+"""Second copies of answers come late, also of turned-away ones: requests that are unsafe to repeat run twice."""
 
 from __future__ import annotations
 
@@ -8,7 +8,6 @@
 from pathlib import Path
 
 from stage import (
-    OK,
     TROUBLE,
     Arrival,
     Ask,
@@ -25,11 +24,13 @@
 
 FOLDER = Path(__file__).resolve().parent
 SERVERS, GATEWAYS, CUSTOMERS = 3, 2, 12
-RUN_SECONDS = 60.0
+RUN_SECONDS = 80.0
 REQUESTS_PER_SECOND = 150.0
 WORK_SECONDS = 0.03
-KEYED_SHARE, UNSAFE_SHARE = 0.25, 0.2
-TURNED_AWAY_SHARE = 0.1  # of the attempts, as their queues are full
+KEYED_SHARE, UNSAFE_SHARE = 0.2, 0.35
+TURNED_AWAY_SHARE = 0.15  # of the attempts, as their queues are full
+UNSAFE_CLASS = "pay-out"
+TURNED_AWAY_OUTCOME = "turned away"
 TURNED_AWAY = b"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
 NETWORK_SECONDS = 0.0015  # one way; the site files have 1.4 to 2.6 ms between zones
 COPY_SHARE = 0.1  # of the answers
@@ -45,7 +46,7 @@
             [
                 request_class("listing-read", "safe", 1.5),
                 request_class("copy-hold", "keyed", 2.5, worth=2.0, late_value=0.2),
-                request_class("pay-out", "unsafe", 2.4, worth=4.0),
+                request_class(UNSAFE_CLASS, "unsafe", 2.4, worth=4.0),
             ],
             [plan("stor", 25.0, 32.0, pays=1.4)],
             GATEWAYS,
@@ -71,7 +72,7 @@
         await asyncio.sleep(2 * NETWORK_SECONDS)
         if self.random.random() < TURNED_AWAY_SHARE:
             answer = TURNED_AWAY
-            arrival.outcome = "turned away"
+            arrival.outcome = TURNED_AWAY_OUTCOME
         else:
             await asyncio.sleep(self.random.expovariate(1 / WORK_SECONDS))
             answer = ok_answer(body_for(server.name, arrival.request_id))
@@ -123,7 +124,7 @@
         ask = Ask(f"r{number}", customer=1 + number % CUSTOMERS, spread=GATEWAYS)
         chance = self.random.random()
         if chance < UNSAFE_SHARE:
-            ask.class_name, ask.method, ask.seconds = "pay-out", "POST", 2.4
+            ask.class_name, ask.method, ask.seconds = UNSAFE_CLASS, "POST", 2.4
         elif chance < UNSAFE_SHARE + KEYED_SHARE:
             ask.class_name, ask.method, ask.seconds, ask.key = "copy-hold", "POST", 2.5, f"key-{number}"
         self.stage.note_reply(await client.ask(ask))
@@ -140,21 +141,19 @@
         self.stage.record.section("second copies", lines)
 
     def find_faults(self) -> list[str]:
-        """Return the answers of 200 that no server made for the request, and the requests that ran twice."""
-        names = [server.name for server in self.stage.servers]
-        faults = []
-        for reply in self.stage.replies:
-            own = [body_for(name, reply.ask.request_id) for name in names]
-            if reply.status == OK and reply.body not in own:
-                delay = 1000 * self.copy_delays.get(reply.body.decode().split()[-1], 0.0)
-                text = f"{reply.ask.request_id} was served with {reply.body.decode()!r}"
-                faults.append(f"{text}, sent again after {delay:.1f} ms" if delay else text)
-        ran: dict[str, int] = {}
+        """Return the requests that are unsafe to repeat and ran more than once."""
+        runs: dict[str, list[Arrival]] = {}
         for arrival in self.stage.arrivals:
-            if arrival.headers["request-class"] == "pay-out" and arrival.outcome != "turned away":
-                ran[arrival.request_id] = ran.get(arrival.request_id, 0) + 1
-        repeated = [request_id for request_id, times in ran.items() if times > 1]
-        faults += [f"{request_id}, which is unsafe to repeat, ran more than once" for request_id in repeated]
+            is_unsafe = arrival.headers["request-class"] == UNSAFE_CLASS
+            if is_unsafe and arrival.outcome != TURNED_AWAY_OUTCOME:
+                runs.setdefault(arrival.request_id, []).append(arrival)
+        faults = []
+        for request_id, attempts in runs.items():
+            if len(attempts) > 1:
+                servers = " and ".join(arrival.server for arrival in attempts)
+                faults.append(
+                    f"{request_id}, which is unsafe to repeat, ran {len(attempts)} times: at {servers}"
+                )
         return faults
 
 
