--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Second copies of answers come late, also of turned-away ones: requests that are unsafe to repeat run twice."""
+"""Second copies of answers come late, also of turned-away ones: an unsafe request may then run twice."""
 
 from __future__ import annotations
 
