--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,160 +1,124 @@
-"""Second copies of answers come late, also of turned-away ones: an unsafe request may then run twice."""
+"""Bad clients send bodies of 60 MB: requests of usual clients are not answered."""
 
 from __future__ import annotations
 
 import asyncio
 import random
+import subprocess
+import sys
 import time
 from pathlib import Path
 
 from stage import (
     TROUBLE,
-    Arrival,
     Ask,
+    CannotRunError,
     Client,
-    Server,
+    Reply,
     Stage,
-    body_for,
     make_settings,
-    ok_answer,
     plan,
     request_class,
     run_case,
 )
 
 FOLDER = Path(__file__).resolve().parent
-SERVERS, GATEWAYS, CUSTOMERS = 3, 2, 12
-RUN_SECONDS = 80.0
-REQUESTS_PER_SECOND = 150.0
-WORK_SECONDS = 0.03
-KEYED_SHARE, UNSAFE_SHARE = 0.2, 0.35
-TURNED_AWAY_SHARE = 0.15  # of the attempts, as their queues are full
-UNSAFE_CLASS = "pay-out"
-TURNED_AWAY_OUTCOME = "turned away"
-TURNED_AWAY = b"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
-NETWORK_SECONDS = 0.0015  # one way; the site files have 1.4 to 2.6 ms between zones
-COPY_SHARE = 0.1  # of the answers
-COPY_DELAY_SECONDS = 0.0095  # "some milliseconds"; timers make it 10 to 12 ms
+SERVERS, CUSTOMERS = 3, 8
+BAD_PROCESSES, BAD_CLIENTS = 3, 100  # clients of each process; together under a third of the descriptors
+BAD_SECONDS = 25
+QUIET_SECONDS = 2.0  # before the bad clients come
+USUAL_SECONDS = 25.0
+REQUESTS_PER_SECOND = 20.0
+NEW_CONNECTION_SHARE = 0.5  # of the usual requests; the others come on connections that are kept
+DEADLINE_SECONDS = 1.0  # "given up after 50 to 100% of the class's give-up time" of 1.5 s
+LATE_SECONDS = 0.5 + 0.05  # a later answer is lost; every time limit is 50 ms longer
+PATIENCE_SECONDS = 2.0  # for which the client waits beyond its time
+MAX_LAG_SECONDS = 0.2  # of the stand-ins; with more, the run says nothing
 
 
 class Case:
-    """Steady traffic, with answers some of which come twice."""
+    """Usual clients, and beside them bad ones."""
 
     def __init__(self) -> None:
         self.random = random.Random(6)
         settings = make_settings(
-            [
-                request_class("listing-read", "safe", 1.5),
-                request_class("copy-hold", "keyed", 2.5, worth=2.0, late_value=0.2),
-                request_class(UNSAFE_CLASS, "unsafe", 2.4, worth=4.0),
-            ],
+            [request_class("listing-read", "safe", 1.5), request_class("copy-hold", "keyed", 2.5)],
             [plan("stor", 25.0, 32.0, pays=1.4)],
-            GATEWAYS,
+            1,
         )
-        self.stage = Stage(FOLDER, settings, SERVERS, GATEWAYS)
-        self.pools: dict[str, list[Client]] = {gateway.name: [] for gateway in self.stage.gateways}
-        self.copy_delays: dict[str, float] = {}  # of each answer that was sent again, in seconds
-        self.background: set[asyncio.Task[None]] = set()
+        self.stage = Stage(FOLDER, settings, SERVERS, 1)
+        self.kept: list[Client] = []
+        self.kinds: dict[str, str] = {}
+        self.longest_lag = 0.0
 
     async def run(self) -> list[str]:
         """Run, and return what was broken."""
-        for server in self.stage.servers:
-            server.handler = self.serve
+        bad: list[subprocess.Popen[bytes]] = []
         async with self.stage:
-            await self.send_traffic()
+            try:
+                traffic = asyncio.ensure_future(self.send_traffic())
+                await asyncio.sleep(QUIET_SECONDS)
+                bad = self.start_bad_clients() if TROUBLE else []
+                await traffic
+            finally:
+                for process in bad:
+                    process.kill()
+                    process.wait()
             self.stage.note_arrivals()
-            faults = self.find_faults()
-            self.note_copies()
+            self.stage.record.section("longest lag of the stand-ins", [f"{self.longest_lag:.3f} s"])
+            status = self.stage.gateways[0].status
+            faults = [fault for reply in self.stage.replies if (fault := self.fault_of(reply))]
+            if status is not None:
+                faults.append(f"the gateway ended with status {status}")
+        if self.longest_lag > MAX_LAG_SECONDS:
+            raise CannotRunError(f"the stand-ins were held up for {self.longest_lag:.3f} s")
+        if len(faults) > 1:
+            faults.append(f"{len(faults)} of {len(self.stage.replies)} usual requests in all")
         return faults
 
-    async def serve(self, server: Server, arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
-        """Answer; sometimes send the answer once more when nothing else waits on the connection."""
-        await asyncio.sleep(2 * NETWORK_SECONDS)
-        if self.random.random() < TURNED_AWAY_SHARE:
-            answer = TURNED_AWAY
-            arrival.outcome = TURNED_AWAY_OUTCOME
-        else:
-            await asyncio.sleep(self.random.expovariate(1 / WORK_SECONDS))
-            answer = ok_answer(body_for(server.name, arrival.request_id))
-            arrival.outcome = "answered"
-        writer.write(answer)
-        answered_at = time.perf_counter()
-        if TROUBLE and self.random.random() < COPY_SHARE:
-            task = asyncio.ensure_future(self.send_copy(server, arrival, writer, answer, answered_at))
-            self.background.add(task)
-            task.add_done_callback(self.background.discard)
-        return True
-
-    async def send_copy(
-        self,
-        server: Server,
-        arrival: Arrival,
-        writer: asyncio.StreamWriter,
-        answer: bytes,
-        answered_at: float,
-    ) -> None:
-        """Send an answer again if no byte has come on the connection; the copy is on its way for a while."""
-        await asyncio.sleep(COPY_DELAY_SECONDS - NETWORK_SECONDS)
-        if server.has_received(writer) or writer.is_closing():
-            return
-        await asyncio.sleep(NETWORK_SECONDS)
-        if writer.is_closing():
-            return
-        writer.write(answer)
-        delay = time.perf_counter() - answered_at
-        self.copy_delays[arrival.request_id] = delay
-        self.stage.record.add(
-            f"{server.name} sent the answer to {arrival.request_id} again after {1000 * delay:.1f} ms"
-        )
+    def start_bad_clients(self) -> list[subprocess.Popen[bytes]]:
+        """Start the processes of the bad clients."""
+        self.stage.record.add(f"{BAD_PROCESSES * BAD_CLIENTS} bad clients begin")
+        port = self.stage.gateways[0].port
+        commands = [
+            [str(text) for text in (port, BAD_CLIENTS, BAD_SECONDS, number * BAD_CLIENTS)]
+            for number in range(BAD_PROCESSES)
+        ]
+        script = str(FOLDER / "bad_clients.py")
+        return [subprocess.Popen([sys.executable, script, *command]) for command in commands]
 
     async def send_traffic(self) -> None:
-        """Send requests at random times."""
+        """Send usual requests at random times."""
         tasks: list[asyncio.Task[None]] = []
-        ends_at = time.time() + RUN_SECONDS
+        ends_at = time.time() + USUAL_SECONDS
         while time.time() < ends_at:
             tasks.append(asyncio.ensure_future(self.send_one(len(tasks))))
-            await asyncio.sleep(self.random.expovariate(REQUESTS_PER_SECOND))
+            pause = self.random.expovariate(REQUESTS_PER_SECOND)
+            started_at = time.perf_counter()
+            await asyncio.sleep(pause)
+            self.longest_lag = max(self.longest_lag, time.perf_counter() - started_at - pause)
         await asyncio.gather(*tasks)
 
     async def send_one(self, number: int) -> None:
-        """Send one request through a random gateway."""
-        gateway = self.random.choice(self.stage.gateways)
-        pool = self.pools[gateway.name]
-        client = pool.pop() if pool else Client(gateway)
-        ask = Ask(f"r{number}", customer=1 + number % CUSTOMERS, spread=GATEWAYS)
-        chance = self.random.random()
-        if chance < UNSAFE_SHARE:
-            ask.class_name, ask.method, ask.seconds = UNSAFE_CLASS, "POST", 2.4
-        elif chance < UNSAFE_SHARE + KEYED_SHARE:
-            ask.class_name, ask.method, ask.seconds, ask.key = "copy-hold", "POST", 2.5, f"key-{number}"
-        self.stage.note_reply(await client.ask(ask))
+        """Send one request, on a new connection or on one that has been kept."""
+        is_new = self.random.random() < NEW_CONNECTION_SHARE or not self.kept
+        client = Client(self.stage.gateways[0]) if is_new else self.kept.pop()
+        ask = Ask(f"r{number}", customer=1 + number % CUSTOMERS, seconds=DEADLINE_SECONDS)
+        self.kinds[ask.request_id] = "new" if is_new else "kept"
+        self.stage.note_reply(await client.ask(ask, PATIENCE_SECONDS))
         if client.writer is not None:
-            pool.append(client)
-
-    def note_copies(self) -> None:
-        """Record how late the copies were."""
-        delays = sorted(1000 * delay for delay in self.copy_delays.values())
-        lines = [f"{len(delays)} were sent"]
-        if delays:
-            middle = delays[len(delays) // 2]
-            lines.append(f"after {delays[0]:.1f} to {delays[-1]:.1f} ms, the median {middle:.1f} ms")
-        self.stage.record.section("second copies", lines)
-
-    def find_faults(self) -> list[str]:
-        """Return the requests that are unsafe to repeat and ran more than once."""
-        runs: dict[str, list[Arrival]] = {}
-        for arrival in self.stage.arrivals:
-            is_unsafe = arrival.headers["request-class"] == UNSAFE_CLASS
-            if is_unsafe and arrival.outcome != TURNED_AWAY_OUTCOME:
-                runs.setdefault(arrival.request_id, []).append(arrival)
-        faults = []
-        for request_id, attempts in runs.items():
-            if len(attempts) > 1:
-                servers = " and ".join(arrival.server for arrival in attempts)
-                faults.append(
-                    f"{request_id}, which is unsafe to repeat, ran {len(attempts)} times: at {servers}"
-                )
-        return faults
+            self.kept.append(client)
+
+    def fault_of(self, reply: Reply) -> str:
+        """Return how a request was lost; empty if it was answered in time, or may be sent once more."""
+        kind = self.kinds[reply.ask.request_id]
+        if reply.status < 0:
+            return (
+                f"{reply.ask.request_id} on a {kind} connection got nothing within {DEADLINE_SECONDS + 2} s"
+            )
+        if reply.status and reply.late_by > LATE_SECONDS:
+            return f"{reply.ask.request_id} on a {kind} connection was answered {reply.late_by:.2f} s late"
+        return ""
 
 
 run_case(Case().run, FOLDER)
