--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -726,7 +726,8 @@
             async with asyncio.timeout(reply.sent_at + reply.ask.seconds + patience - time.time()):
                 await self._read_answer(reply)
         except TimeoutError:
-            reply.note = "nothing came"
+            reply.note = "nothing came; the client goes"
+            self.close()
         except SERVER_LOST as error:
             reply.status = 0
             reply.note = f"connection ended: {type(error).__name__}"
