--- a/review/10/case.py
+++ b/review/10/case.py
@@ -19,7 +19,7 @@
 SPIKE_TIMES = 7.0 if TROUBLE else 0.8  # of the rate; the page has up to 7.3
 SPIKE_EVERY_SECONDS = 12.0  # the site file has 10 to 18 s
 SPIKES = 6  # of each customer
-ROUNDING = 1e-6
+TIME_SLACK = 0.05 * CEILING_RATE  # "every time limit is 50 ms longer" (PROTOCOL)
 
 
 class Case:
@@ -98,7 +98,7 @@
     def fault_of(self, customer: int) -> str:
         """Return how a customer's ceiling was passed; empty if it was kept."""
         lowest, at = self.lowest_level(customer)
-        if lowest >= -SLACK - ROUNDING:
+        if lowest >= -SLACK - TIME_SLACK:
             return ""
         seconds = at - self.stage.record.started_at
         return f"customer {customer}: {-lowest:.1f} units below 0 at {seconds:.1f} s, allowed are {SLACK:.1f}"
