Bound the reads of bytes that are discarded, for all rejected clients together

Requests on connections that were open before were served.

Cause: what a rejected client goes on to send is read and discarded, with a bound of 1 MB in 10 ms for each connection, so that 300 clients had 300 times as much. The event loop reads up to 32 times from one connection while each read fills the buffer, and it accepts one connection in each iteration.

Evidence: a system call trace of 3 s in the middle of the case shows 46 iterations with 42,255 reads of 64 KB, 46 accepted connections and no other work to speak of.

The bound now holds for all rejected clients together: 16 reads of up to 64 KB in 10 ms. A connection is paused once its share is used up and gets another in turn, so that a lone client keeps the rate that it had. Small segments count as reads too. Connections that are paused only because they discard are no longer polled for a disconnect, as there is nothing to cancel for them.

The test of the reader's limit of discarded bytes went with that limit; the tests of the budget and of its shares replace it, and are stricter, as they hold for all connections.

--- a/gateway/frontend/client_connection.py
+++ b/gateway/frontend/client_connection.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from typing import TYPE_CHECKING, Protocol, cast
 
 from gateway.frontend.client_socket import ClientSocket
+from gateway.frontend.discard_budget import DiscardBudget, DiscardShare
 from gateway.frontend.errors import FrontendError, UnavailableError
 from gateway.frontend.exchange import Exchange
 from gateway.frontend.http_response import encode_response, error_response
@@ -15,14 +15,14 @@
 from gateway.scheduled_protocol import ScheduledProtocol
 
 if TYPE_CHECKING:
+    import asyncio
+
     from gateway.frontend.request_dispatcher import RequestDispatcher
     from gateway.frontend.wait_queue import WaitQueue
     from gateway.read_scheduler import ReadScheduler
 
 MAX_PIPELINED_REQUESTS = 4  # requests on one connection whose responses are not sent yet
 MAX_REQUESTS_PER_READ = 16  # on one connection; a response that is ready at once takes no time to send
-# Pause in reading from a rejected client that keeps sending, which limits the CPU time spent on it.
-DISCARD_PAUSE_SECONDS = 0.01
 
 
 class ConnectionRegistry(Protocol):
@@ -57,31 +57,36 @@
     a complete request is pending.
 
     The event loop calls the methods of ``asyncio.BufferedProtocol``, the scheduler ``parse_deferred``, the
-    reader the methods of ``RequestHandler``, and the exchanges ``flush_responses``.  The registry calls
-    ``move_to_queue``, ``reject`` and ``abort``, and ``eof_received`` for a client that has disconnected while
-    reading from it is paused.
+    reader the methods of ``RequestHandler``, the discard budget ``update_reading``, and the exchanges
+    ``flush_responses``.  The registry calls ``move_to_queue``, ``reject`` and ``abort``, and ``eof_received``
+    for a client that has disconnected while reading from it is paused.
 
     Attributes:
         socket: The client's socket.
         reader: Parses the requests.
         pending_exchanges: Requests whose responses are not written yet, in the order of arrival.
         queue: The registry's queue that contains the connection; None if it is in none.
+        discard_share: The reads that may be discarded after the last response.
     """
 
     def __init__(
-        self, registry: ConnectionRegistry, dispatcher: RequestDispatcher, read_scheduler: ReadScheduler
+        self,
+        registry: ConnectionRegistry,
+        dispatcher: RequestDispatcher,
+        read_scheduler: ReadScheduler,
+        discard_budget: DiscardBudget,
     ) -> None:
         super().__init__(read_scheduler)
         self.socket = ClientSocket()
         self.reader = RequestReader(self)
         self.pending_exchanges: deque[Exchange] = deque()
         self.queue: WaitQueue[ClientConnection] | None = None
+        self.discard_share = DiscardShare(discard_budget)
         self._registry = registry
         self._dispatcher = dispatcher
         self._body_reservation = BodyReservation(dispatcher.budget)
         self._requests_in_read = 0  # requests that the last read has completed so far
-        # Whether the client does not read its responses, or has sent too much after it was rejected.
-        self._is_paused = False
+        self._has_unread_responses = False  # too many bytes of responses that the client has not read
 
     def move_to_queue(self, queue: WaitQueue[ClientConnection] | None) -> None:
         """Move to the end of a queue, or with None leave the current queue."""
@@ -121,6 +126,8 @@
 
     def bulk_bytes(self) -> int:
         """Return how many of the next bytes cost a fixed number of calls to parse or to discard."""
+        if self.reader.is_closed:
+            return self.discard_share.read_bytes
         return self.reader.bulk_bytes
 
     def parse(self, data: memoryview | bytes) -> None:
@@ -129,15 +136,14 @@
         Bytes after an invalid request are read and discarded, at a limited rate: closing a connection with
         unread bytes makes the system send a reset, which could reach the client before the response.
         """
-        if not self.reader.is_closed:
-            self._requests_in_read = 0
-            try:
-                self.reader.feed(data)
-            except FrontendError as error:
-                self.reject(error)
-        elif self.reader.discard(len(data)) and self.socket.is_attached:
-            self.pause_writing()
-            asyncio.get_running_loop().call_later(DISCARD_PAUSE_SECONDS, self.resume_writing)
+        if self.reader.is_closed:
+            self.discard_share.count_read(self)
+            return
+        self._requests_in_read = 0
+        try:
+            self.reader.feed(data)
+        except FrontendError as error:
+            self.reject(error)
 
     def eof_received(self) -> None:
         """Treat a client that has shut down its sending side as disconnected.
@@ -151,21 +157,22 @@
 
     def pause_writing(self) -> None:
         """Pause reading until the client reads its responses, so that they do not pile up in memory."""
-        self._is_paused = True
+        self._has_unread_responses = True
         self.update_reading()
 
     def resume_writing(self) -> None:
         """Resume reading requests."""
-        self._is_paused = False
+        self._has_unread_responses = False
         self.update_reading()
 
     def update_reading(self) -> None:
         """Pause reading while there is a reason for it, and resume it otherwise."""
         if not self.socket.is_attached:
             return
-        if self._is_paused or self.has_deferred_bytes:
+        if self._has_unread_responses or self.has_deferred_bytes or not self.discard_share.reads_left:
             self.socket.pause_reading()
-            self._registry.mark_paused(self)
+            if self.pending_exchanges or not self.reader.is_closed:  # else a disconnect changes nothing
+                self._registry.mark_paused(self)
         else:
             self._registry.unmark_paused(self)
             self.socket.resume_reading()
--- a/gateway/frontend/listener.py
+++ b/gateway/frontend/listener.py
@@ -7,6 +7,7 @@
 
 from gateway.frontend.client_connection import ClientConnection
 from gateway.frontend.connection_table import ConnectionTable
+from gateway.frontend.discard_budget import DiscardBudget
 from gateway.frontend.request_budget import RequestBudget
 from gateway.frontend.request_dispatcher import RequestDispatcher
 from gateway.frontend.request_metadata import RequestMetadataParser
@@ -39,6 +40,7 @@
         self.socket_server: asyncio.Server | None = None
         self._driver = driver
         self._read_scheduler = ReadScheduler(asyncio.get_running_loop())
+        self._discard_budget = DiscardBudget()
         self._dispatcher = RequestDispatcher(
             driver,
             RequestMetadataParser(config.settings, config.max_request_units),
@@ -60,7 +62,9 @@
 
     def create_connection(self) -> ClientConnection:
         """Return the protocol of a new connection; called by the event loop."""
-        return ClientConnection(self.connection_table, self._dispatcher, self._read_scheduler)
+        return ClientConnection(
+            self.connection_table, self._dispatcher, self._read_scheduler, self._discard_budget
+        )
 
     def is_ready(self) -> bool:
         """Return whether this process is not shutting down and has at least one endpoint."""
--- a/gateway/frontend/request_reader.py
+++ b/gateway/frontend/request_reader.py
@@ -12,7 +12,6 @@
 from gateway.frontend import request_headers
 from gateway.frontend.errors import BadRequestError, BodyTooLargeError, FrontendError
 from gateway.http_body import append_part
-from gateway.read_scheduler import BULK_READ_BYTES
 
 MAX_BODY_BYTES = 64 * 1024  # limit of the protocol
 MAX_HEADER_BYTES = 16 * 1024  # target and headers, including separators
@@ -24,7 +23,6 @@
 MAX_INCOMPLETE_BYTES = MAX_HEADER_BYTES  # of a header that is not complete, which the parser buffers
 MAX_HEADERS = 128
 MAX_REQUEST_BYTES = 10 * MAX_BODY_BYTES  # on the wire, where a chunked body may consist of one-byte chunks
-MAX_DISCARDED_BYTES = 1 << 20  # bytes from a rejected client after which reading pauses
 
 
 class ReaderState(enum.Enum):
@@ -84,8 +82,7 @@
 
     Attributes:
         state: What the reader does with the next bytes.
-        bytes_since_request: Number of bytes received after the read that completed the last request; once
-            the reader is closed, restarts at 0 each time that reading has to pause.
+        bytes_since_request: Number of bytes received after the read that completed the last request.
     """
 
     __slots__ = (
@@ -114,9 +111,7 @@
 
     @property
     def bulk_bytes(self) -> int:
-        """How many of the next bytes cost a fixed number of calls: of a plain body, or discarded ones."""
-        if self.state is CLOSED:
-            return BULK_READ_BYTES
+        """How many of the next bytes cost a fixed number of calls to parse, as they are of a plain body."""
         return self._content_length - len(self._body) if self._content_length else 0
 
     @property
@@ -180,18 +175,6 @@
         del self._parser
         del self._handler
 
-    def discard(self, size: int) -> bool:
-        """Count bytes that are received after `close`.
-
-        Returns:
-            Whether the limit is exceeded, so that reading has to pause; the count then restarts at 0.
-        """
-        self.bytes_since_request += size
-        if self.bytes_since_request <= MAX_DISCARDED_BYTES:
-            return False
-        self.bytes_since_request = 0
-        return True
-
     def discard_body(self) -> None:
         """Free the received part of the current body."""
         self._body = b""
--- a/tests/frontend/test_client_connection.py
+++ b/tests/frontend/test_client_connection.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
-from gateway.frontend.request_reader import MAX_DISCARDED_BYTES
+from gateway.frontend.discard_budget import READS_PER_INTERVAL
+from gateway.read_scheduler import BULK_READ_BYTES, READ_BYTES
 from testbed.http_messages import read_message
 from tests.support.event_loop import async_test
-from tests.support.gateway import UNREACHABLE, gateway_with_client
+from tests.support.gateway import UNREACHABLE, GatewayWithClient, gateway_with_client
+
+if TYPE_CHECKING:
+    from gateway.frontend.client_connection import ClientConnection
 
-DISCARD_COUNT = 20  # number of times that the client sends MAX_DISCARDED_BYTES
+DISCARDED_BYTES = READS_PER_INTERVAL * BULK_READ_BYTES  # that are read in one interval
+DISCARD_COUNT = 20  # number of times that the client sends them
+GRANTED_READS = 3
 
 
 # Guards against request smuggling: an endpoint could determine the end of the body by the other header.
@@ -47,10 +55,10 @@
 async def test_bytes_after_an_error_do_not_reset_its_response() -> None:
     async with gateway_with_client(UNREACHABLE) as gateway:
         gateway.client.writer.write(
-            gateway.client.encode_request(2, Content_Length=str(DISCARD_COUNT * MAX_DISCARDED_BYTES))
+            gateway.client.encode_request(2, Content_Length=str(DISCARD_COUNT * DISCARDED_BYTES))
         )
         for _ in range(DISCARD_COUNT):
-            gateway.client.writer.write(b"x" * MAX_DISCARDED_BYTES)
+            gateway.client.writer.write(b"x" * DISCARDED_BYTES)
             await gateway.client.writer.drain()
         assert (await read_message(gateway.client.reader)).status == 413
         assert await gateway.client.reader.read() == b""
@@ -68,3 +76,51 @@
         assert await gateway.client.reader.read() == b""
         assert not gateway.policy.events
     assert not caplog.records
+
+
+async def rejected_connection(gateway: GatewayWithClient) -> ClientConnection:
+    assert (await gateway.client.send(b"nonsense\r\n\r\n")).status == 400
+    (connection,) = gateway.process.listener.connection_table.connections
+    return connection
+
+
+def is_reading(connection: ClientConnection) -> bool:
+    assert connection.socket.transport is not None
+    return connection.socket.transport.is_reading()
+
+
+# Guards against rejected clients that keep the event loop busy with what they go on to send (review case 6).
+@async_test
+async def test_a_rejected_connection_reads_no_more_than_its_share() -> None:
+    async with gateway_with_client(UNREACHABLE) as gateway:
+        connection = await rejected_connection(gateway)
+        assert is_reading(connection)
+        connection.parse(b"x")
+        assert not is_reading(connection)
+        connection.discard_share.reads_left = GRANTED_READS
+        connection.update_reading()
+        for _ in range(GRANTED_READS - 1):
+            connection.parse(b"x")
+        assert is_reading(connection)
+        connection.parse(b"x")
+        assert not is_reading(connection)
+
+
+@async_test
+async def test_all_rejected_connections_share_one_number_of_reads() -> None:
+    async with gateway_with_client(UNREACHABLE) as gateway:
+        connection = await rejected_connection(gateway)
+        connection.discard_share.reads_left = 2 * READS_PER_INTERVAL
+        assert len(connection.get_buffer(-1)) == BULK_READ_BYTES
+        for _ in range(READS_PER_INTERVAL):
+            connection.parse(b"x")
+        assert not is_reading(connection)
+        assert len(connection.get_buffer(-1)) == READ_BYTES
+
+
+@async_test
+async def test_a_rejected_client_that_closes_is_not_polled() -> None:
+    async with gateway_with_client(UNREACHABLE) as gateway:
+        connection = await rejected_connection(gateway)
+        connection.parse(b"x")
+        assert connection not in gateway.process.listener.connection_table.paused
--- a/tests/frontend/test_request_reader.py
+++ b/tests/frontend/test_request_reader.py
@@ -10,7 +10,6 @@
 from gateway.frontend.request_reader import (
     MAX_BODY_BYTES,
     MAX_BYTES_BEFORE_REQUEST,
-    MAX_DISCARDED_BYTES,
     MAX_HEADER_BYTES,
     MAX_HEADERS,
     MAX_REQUEST_BYTES,
@@ -181,13 +180,6 @@
     assert reader.is_closed
 
 
-def test_reading_pauses_each_time_the_limit_of_discarded_bytes_is_exceeded(reader: RequestReader) -> None:
-    reader.close()
-    assert not reader.discard(MAX_DISCARDED_BYTES)
-    assert reader.discard(1)
-    assert not reader.discard(MAX_DISCARDED_BYTES)
-
-
 def feed_in_reads(reader: RequestReader, data: bytes) -> None:
     for start in range(0, len(data), READ_BYTES):
         reader.feed(data[start : start + READ_BYTES])
