Forget rejected connections that are lost while they wait to be read

Found when the new budget of discarded reads was tried with 500 clients that came again as soon as they were closed, over the limit on connections: the process grew from 27 to 70 MB in 8 s.

Cause: a connection that had used its share stayed in the budget's queue until its turn, also after it was lost.

The queue now forgets a connection when it is lost. The test test_a_lost_connection_waits_for_no_further_share failed before.

--- a/gateway/frontend/client_connection.py
+++ b/gateway/frontend/client_connection.py
@@ -118,6 +118,7 @@
         """Release the connection's resources and report the disconnect for all pending requests."""
         self.socket.detach()
         self.discard_deferred()
+        self.discard_share.release(self)
         self.move_to_queue(None)
         self._registry.remove(self)
         self._release_body()
--- a/gateway/frontend/discard_budget.py
+++ b/gateway/frontend/discard_budget.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import OrderedDict
 from typing import Protocol
 
 from gateway.read_scheduler import BULK_READ_BYTES, READ_BYTES
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         self.reads_left = READS_PER_INTERVAL
         self._loop = asyncio.get_running_loop()
-        self._waiting: deque[DiscardingConnection] = deque()
+        self._waiting: OrderedDict[DiscardingConnection, None] = OrderedDict()
         self._timer_is_set = False
 
     def count_read(self) -> None:
@@ -37,9 +37,13 @@
 
     def wait(self, connection: DiscardingConnection) -> None:
         """Give a connection another share in one of the next intervals."""
-        self._waiting.append(connection)
+        self._waiting[connection] = None
         self._set_timer()
 
+    def forget(self, connection: DiscardingConnection) -> None:
+        """Give a connection that is lost no further share."""
+        self._waiting.pop(connection, None)
+
     def _set_timer(self) -> None:
         if not self._timer_is_set:
             self._timer_is_set = True
@@ -54,7 +58,7 @@
             return
         self._set_timer()
         for _ in range(count):
-            connection = self._waiting.popleft()
+            connection, _ = self._waiting.popitem(last=False)
             connection.discard_share.reads_left = READS_PER_INTERVAL // count
             connection.update_reading()
 
@@ -78,6 +82,10 @@
         """The number of bytes that the next read may have."""
         return BULK_READ_BYTES if self._budget.reads_left > 0 else READ_BYTES
 
+    def release(self, connection: DiscardingConnection) -> None:
+        """Give up the share of a connection that is lost."""
+        self._budget.forget(connection)
+
     def count_read(self, connection: DiscardingConnection) -> None:
         """Count a read; once the share or the budget is used up, pause reading and wait for another share."""
         self.reads_left -= 1
--- a/testbed/flooding_clients.py
+++ b/testbed/flooding_clients.py
@@ -33,6 +33,7 @@
 LARGE_BODY_BYTES = 60_000_000
 PIECE = b"x" * 65536
 MAX_HEAD_BYTES = 16 * 1024  # the gateway's limit
+MAX_FIELDS = 120  # besides the usual ones; the gateway accepts 128 in all
 MAX_BODY_BYTES = 64 * 1024  # the protocol's limit
 FIRST_CUSTOMER = 1 << 32  # customers that no usual client has
 CUSTOMER_COUNT = 1 << 32
@@ -91,6 +92,13 @@
         yield field
 
 
+def largest_requests(number: int) -> Iterator[bytes]:
+    """Yield the largest request that is accepted, with as many fields as possible, without its last byte."""
+    fields = [f"f{index}: {index:0100}" for index in range(MAX_FIELDS)]
+    yield request_head(number, "POST", "/class-2", f"Content-Length: {MAX_BODY_BYTES}", *fields)
+    yield PIECE[: MAX_BODY_BYTES - 1]
+
+
 def slow_writes(number: int) -> Iterator[bytes]:
     """Yield a request in pieces of a few bytes."""
     head = request_head(number, "POST", "/class-2", f"Content-Length: {MAX_BODY_BYTES}")
@@ -128,6 +136,7 @@
     "unreadable-bytes": FloodKind(unreadable_bytes, reconnects_at_eof=True),
     "small-segments": FloodKind(small_segments, pause_seconds=1e-6),
     "half-bodies": FloodKind(half_bodies),
+    "largest-requests": FloodKind(largest_requests),
     "many-fields": FloodKind(many_fields),
     "slow-writes": FloodKind(slow_writes, pause_seconds=0.01),
     "new-customers": FloodKind(new_customers, awaits_responses=True),
--- a/tests/frontend/test_client_connection.py
+++ b/tests/frontend/test_client_connection.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
 from typing import TYPE_CHECKING
 
 import pytest
 
-from gateway.frontend.discard_budget import READS_PER_INTERVAL
+from gateway.frontend.discard_budget import READS_PER_INTERVAL, DiscardBudget
 from gateway.read_scheduler import BULK_READ_BYTES, READ_BYTES
 from testbed.http_messages import read_message
-from tests.support.event_loop import async_test
+from tests.support.event_loop import async_test, until
 from tests.support.gateway import UNREACHABLE, GatewayWithClient, gateway_with_client
 
 if TYPE_CHECKING:
@@ -118,6 +120,22 @@
         assert len(connection.get_buffer(-1)) == READ_BYTES
 
 
+# Guards against memory for clients that come and go faster than they get their turn to be read.
+@async_test
+async def test_a_lost_connection_waits_for_no_further_share(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(DiscardBudget, "_start_interval", lambda _: None)  # no connection gets its turn
+    async with gateway_with_client(UNREACHABLE) as gateway:
+        connection = await rejected_connection(gateway)
+        connection.parse(b"x")
+        connection.abort()
+        connections = gateway.process.listener.connection_table.connections
+        await until(lambda: not connections)
+        remaining = weakref.ref(connection)
+        del connection
+        gc.collect()
+        assert remaining() is None
+
+
 @async_test
 async def test_a_rejected_client_that_closes_is_not_polled() -> None:
     async with gateway_with_client(UNREACHABLE) as gateway:
