--- a/tests/process/program.py
+++ b/tests/process/program.py
@@ -83,3 +83,10 @@
 def open_descriptors(process: asyncio.subprocess.Process) -> int:
     """Return how many descriptors the program has open."""
     return len(list(Path(f"/proc/{process.pid}/fd").iterdir()))
+
+
+def peak_memory_mb(process: asyncio.subprocess.Process) -> float:
+    """Return the largest resident memory that the program has had, in megabytes."""
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    (kilobytes,) = (line.split()[1] for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(kilobytes) / 1024
--- a/tests/process/services.py
+++ b/tests/process/services.py
@@ -60,6 +60,13 @@
     path.write_text(json.dumps(config))
 
 
+def limit_memory(path: Path, megabytes: int) -> None:
+    """Change the limit on memory in a program's configuration file."""
+    config = json.loads(path.read_text())
+    config["limits"]["memory_mb"] = megabytes
+    path.write_text(json.dumps(config))
+
+
 def write_malformed_config(path: Path) -> None:
     """Write a configuration file that is not valid JSON."""
     path.write_text("{")
