Bound the number of leases, and evict those with a single request first

Cause: a lease of some 2 KB is kept for each customer until 30 s after its last request, with no bound on their number.

There are now 4,096 at most, besides those in use, some twelve times as many as the planned fleet has customers for each gateway. Many customers come only once, so a name never seen before is no sign of a bad client: it is served. But its lease, with one request so far, is the first to go, oldest first, and only where there are hardly any of these the least recently used one goes. So a flood of new names does not evict a usual customer. What an evicted lease owes, or holds while the quota is scarce, is settled by one call if the rate of calls has headroom. A lease created while others are evicted gets no first local token, as its customer may have spent one before.

The tests of lease_eviction fail before, as a table then holds 200 leases after a flood of 200 names with a bound of 40.

--- a/gateway/policy/admission.py
+++ b/gateway/policy/admission.py
@@ -73,7 +73,9 @@
         lease = self.leases.get_or_create(request, kind)
         if not lease.local_tokens.updated_at:
             grant_ratio = self.calls.grant_ratio(lease.quota.plan)
-            self.local_admission.initialize_tokens(lease, grant_ratio, is_retry=request.is_retry)
+            # While leases are evicted, the customer may have spent its first token before.
+            may_have_spent = request.is_retry or self.leases.is_full
+            self.local_admission.initialize_tokens(lease, grant_ratio, is_retry=may_have_spent)
         return lease
 
     def register(self, pending: PendingRequest) -> None:
--- a/gateway/policy/counter_calls.py
+++ b/gateway/policy/counter_calls.py
@@ -133,6 +133,14 @@
         """Add the unreported units now, without waiting for the next lease request."""
         self._add(lease, lease.ledger.pop_unreported_units(), is_adjustment=True)
 
+    def settle(self, lease: Lease) -> None:
+        """Subtract the credits of an evicted lease, and add its unreported units if the total is known."""
+        units = -lease.pop_credits()
+        if lease.ledger.may_report_units():
+            units += lease.ledger.pop_unreported_units()
+        if abs(units) > EPSILON:
+            self._add(lease, units, is_adjustment=True)
+
     def _add(self, lease: Lease, amount: float, *, is_adjustment: bool) -> None:
         window_index = lease.ledger.window_index
         name = lease.quota.counter_name(window_index)
--- a/gateway/policy/lease.py
+++ b/gateway/policy/lease.py
@@ -52,6 +52,11 @@
     accruing_credits: float = 0.0
     accruing_since: float = 0.0
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether a request holds or awaits credits of the lease, or a call has requested units for it."""
+        return bool(self.usage.active_requests or self.waiters or self.request.in_flight)
+
     def spendable_credits(self, now: float) -> float:
         """Return the credits that may be spent now, without those that have yet to accrue."""
         accrued = (now - self.accruing_since) * self.quota.plan.rate
--- a/gateway/policy/lease_table.py
+++ b/gateway/policy/lease_table.py
@@ -7,6 +7,7 @@
 
 from gateway.policy.context import EPSILON, Context
 from gateway.policy.lease import Lease
+from gateway.policy.lease_eviction import MAX_LEASES, LeaseEviction
 from gateway.policy.lease_sizing import BatchSizer
 from gateway.policy.quota import LeaseKey, QuotaKind
 from gateway.policy.quota_factory import make_ledger, make_quota
@@ -25,6 +26,7 @@
     Attributes:
         by_key: All leases, the least recently used first.
         reclaimable: The leases that may have credits or slots to return to the counter.
+        eviction: Chooses the lease to evict when there are too many.
     """
 
     def __init__(self, context: Context, calls: CounterCalls) -> None:
@@ -32,11 +34,23 @@
         self.calls = calls
         self.by_key: dict[LeaseKey, Lease] = {}
         self.reclaimable: dict[LeaseKey, Lease] = {}
+        self.eviction = LeaseEviction()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether a lease has to be evicted for each that is created."""
+        return len(self.by_key) >= MAX_LEASES
 
     def get_or_create(self, request: Request, kind: QuotaKind) -> Lease:
         """Return the lease for a request, created if needed and moved to the current window."""
         key = LeaseKey(request.customer, kind)
-        lease = self.by_key.pop(key, None) or self._create(request, kind)
+        lease = self.by_key.pop(key, None)
+        if lease is None:
+            self._evict_surplus_leases()
+            lease = self._create(request, kind)
+            self.eviction.record_created(key)
+        else:
+            self.eviction.record_reused(key)
         self.by_key[key] = lease
         lease.record_request(self.context.now)
         return lease
@@ -109,3 +123,24 @@
             if lease.usage.active_requests:  # keep it, as the most recently used
                 lease.usage.postpone_eviction(now)
                 self.by_key[key] = lease
+            else:
+                self.eviction.forget(key)
+
+    def _evict_surplus_leases(self) -> None:
+        """Evict leases until another one may be created; there may be more only while they are in use."""
+        while self.is_full:
+            key = self.eviction.choose(self.by_key)
+            if key is None:
+                return
+            self._evict(key)
+
+    def _evict(self, key: LeaseKey) -> None:
+        """Evict a lease that is not in use, and settle with the counter what other gateways may need."""
+        lease = self.by_key.pop(key)
+        self.reclaimable.pop(key, None)
+        self.eviction.forget(key)
+        lease.roll_window(self.context.now)
+        owes_units = lease.ledger.unreported_units > EPSILON
+        is_relevant = owes_units or lease.ledger.is_scarce(self.context.now)
+        if is_relevant and self.calls.rate_limiter.has_headroom():
+            self.calls.settle(lease)
