Reject an id that comes again after a write with it may have run

Cause: an id was kept only while its request was open.

Ids of requests that surely never ran, and of idempotent ones, are free again at once.

A test of clients that leave while their bytes wait to be discarded is new and passes.

--- a/gateway/driver/open_request.py
+++ b/gateway/driver/open_request.py
@@ -53,8 +53,12 @@
     def respond(self, response: Response) -> None:
         """Send the response.  Called at most once, and never after the client has disconnected."""
 
-    def release(self) -> None:
-        """Free the resources.  Called once, when the request is closed and has no attempt in flight."""
+    def release(self, *, may_have_run: bool) -> None:
+        """Free the resources.  Called once, when the request is closed and has no attempt in flight.
+
+        Args:
+            may_have_run: Whether an endpoint may have executed the request.
+        """
 
 
 @dataclass(slots=True)
--- a/gateway/driver/open_requests.py
+++ b/gateway/driver/open_requests.py
@@ -99,7 +99,7 @@
     def release_if_done(self, request: OpenRequest) -> None:
         """Release a request that is closed and has no attempt in flight."""
         if request.is_done and self._requests.pop(request.request_id, None) is not None:
-            request.client_request.release()
+            request.client_request.release(may_have_run=request.may_have_run)
 
     def _time_out(self, request: OpenRequest) -> None:
         """Respond with ``STATUS_TIMED_OUT``, independently of the policy.
--- a/gateway/frontend/errors.py
+++ b/gateway/frontend/errors.py
@@ -36,7 +36,7 @@
 
 
 class DuplicateRequestIdError(FrontendError):
-    """Another request with the same Request-Id is open."""
+    """Another request with the same Request-Id is open, or may have been executed before."""
 
     status = 409
 
--- a/gateway/frontend/request_budget.py
+++ b/gateway/frontend/request_budget.py
@@ -1,23 +1,26 @@
-"""Limits the buffered bytes of request bodies of all connections, and records the ids of open requests."""
+"""Limits the buffered bytes of request bodies of all connections, and records the ids of requests."""
 
 from __future__ import annotations
 
 from gateway.frontend.errors import DuplicateRequestIdError, UnavailableError
+from gateway.frontend.recent_request_ids import RecentRequestIds
 
 
 class RequestBudget:
-    """Limits the buffered bytes of request bodies, and rejects requests whose id is already open.
+    """Limits the buffered bytes of request bodies, and rejects requests whose id was used before.
 
     Attributes:
         max_buffered_bytes: Number of buffered bytes above which requests are rejected.
         buffered_bytes: Number of bytes of bodies that are buffered now.
         open_request_ids: The Request-Id of each open request.
+        executed_request_ids: The Request-Id of ended requests that must not be executed again.
     """
 
     def __init__(self, max_buffered_bytes: int) -> None:
         self.max_buffered_bytes = max_buffered_bytes
         self.buffered_bytes = 0
         self.open_request_ids: set[bytes] = set()
+        self.executed_request_ids = RecentRequestIds()
 
     def reserve_bytes(self, size: int) -> None:
         """Reserve bytes for a body.
@@ -37,10 +40,12 @@
         """Reserve the id of a request.
 
         Raises:
-            DuplicateRequestIdError: A request with this id is already open.
+            DuplicateRequestIdError: A request with this id is open, or may have been executed before.
         """
         if request_id in self.open_request_ids:
             raise DuplicateRequestIdError("another request with this Request-Id is open")
+        if request_id in self.executed_request_ids:
+            raise DuplicateRequestIdError("a request with this Request-Id may have been executed")
         self.open_request_ids.add(request_id)
 
     def release_request_id(self, request_id: bytes) -> None:
@@ -87,15 +92,17 @@
         """Reserve the id and take over the reserved bytes of the body.
 
         Raises:
-            DuplicateRequestIdError: A request with this id is open; the bytes are not taken over.
+            DuplicateRequestIdError: The id was used before; the bytes are not taken over.
         """
         budget.reserve_request_id(request_id)
         self._budget = budget
         self._request_id = request_id
         self._body_size = body_reservation.transfer()
 
-    def release(self) -> None:
-        """Release the id and the bytes.  Called once."""
+    def release(self, *, may_be_sent_again: bool) -> None:
+        """Release the bytes, and the id unless a request with it must not be executed again.  Called once."""
         if self._body_size:
             self._budget.release_bytes(self._body_size)
         self._budget.release_request_id(self._request_id)
+        if not may_be_sent_again:
+            self._budget.executed_request_ids.add(self._request_id)
--- a/gateway/frontend/submitted_request.py
+++ b/gateway/frontend/submitted_request.py
@@ -64,6 +64,6 @@
         """Send the response once all earlier responses on the connection are sent."""
         self._send_response(response)
 
-    def release(self) -> None:
-        """Release the request's id and the bytes of its body; no attempt needs them any more."""
-        self._reservation.release()
+    def release(self, *, may_have_run: bool) -> None:
+        """Release the body and the id; the id of a write that may have been executed is remembered."""
+        self._reservation.release(may_be_sent_again=not (self._is_write and may_have_run))
--- a/tests/frontend/test_request_budget.py
+++ b/tests/frontend/test_request_budget.py
@@ -35,9 +35,17 @@
     body.release()
     assert budget.buffered_bytes == 10
     assert budget.open_request_ids == {b"one"}
-    request.release()
+    request.release(may_be_sent_again=True)
     assert budget.buffered_bytes == 0
     assert not budget.open_request_ids
+    RequestReservation(budget, b"one", body)
+
+
+def test_the_id_of_a_request_that_must_not_run_again_stays_in_use(budget: RequestBudget) -> None:
+    body = BodyReservation(budget)
+    RequestReservation(budget, b"one", body).release(may_be_sent_again=False)
+    with pytest.raises(DuplicateRequestIdError):
+        RequestReservation(budget, b"one", body)
 
 
 def test_body_of_a_duplicate_request_is_released_by_its_connection(budget: RequestBudget) -> None:
--- a/tests/process/test_client_disconnects.py
+++ b/tests/process/test_client_disconnects.py
@@ -8,9 +8,10 @@
 
 import pytest
 
-from gateway.policy.events import ClientDisconnected
-from testbed.fake_endpoint import FakeEndpoint, respond_with
-from tests.process.raw_client import connected_socket, raw_request, send_four_requests
+from gateway.frontend.discard_budget import DiscardBudget
+from gateway.policy.events import ClientDisconnected, Request
+from testbed.fake_endpoint import FakeEndpoint, respond_with, send_no_response
+from tests.process.raw_client import connected_socket, raw_request, send, send_four_requests
 from tests.support.event_loop import async_test, until
 from tests.support.gateway import UNREACHABLE, running_gateway
 from tests.support.scripted_policy import forward_to_first
@@ -85,3 +86,22 @@
         assert not policy.events
         assert not gateway.driver.open_requests
         assert not gateway.listener.budget.open_request_ids
+
+
+# Guards against a disconnect that is not detected while the bytes after a rejected request wait to be read.
+# No attempt may start for the requests before it any more.
+@async_test
+async def test_disconnect_with_bytes_that_wait_to_be_discarded_is_detected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(DiscardBudget, "_start_interval", lambda _: None)  # they are never read
+    async with running_gateway(FakeEndpoint(send_no_response), react=forward_to_first) as (gateway, policy):
+        with connected_socket(gateway) as client:
+            await send(client, raw_request(b"one") + b"nonsense\r\n\r\n")
+            await until(lambda: policy.events_of_type(Request))
+            await send(client, LARGE_BODY)
+            await until(lambda: gateway.listener.connection_table.paused)
+            await send(client, LARGE_BODY)
+            closed_at = time.monotonic()
+        await until(lambda: policy.events_of_type(ClientDisconnected))
+        assert time.monotonic() - closed_at < MAX_DETECTION_SECONDS
