Keep the address of a new endpoint when the one before it is updated later

Seen here: after an update with the new endpoint, a later one that named the old endpoint at the same address, ready or draining, gave the address back to it. Attempts for the old endpoint then reached the new process beyond its slow start budget, those for the new one failed without being sent, and after the end of the old one nothing was sent there.

Cause: set_endpoint took every record with an address in use for a new endpoint, whichever of the two had started last.

Where the start times are equal, the newest record has it, as before.

--- a/gateway/upstream/client.py
+++ b/gateway/upstream/client.py
@@ -65,19 +65,30 @@
         """Set the address and the start time of an endpoint.
 
         If either has changed, the pool is replaced: its idle connections may be stale, because a machine that
-        failed did not close them.  Attempts in progress on its other connections continue.
+        failed did not close them.  Attempts in progress on its other connections continue.  An endpoint at
+        whose address another one has started since gets no pool.
         """
         pool = self.pools.get(endpoint_id)
         is_unchanged = pool is not None and (pool.address, pool.started_at) == (address, started_at)
         if is_unchanged:
             return
         self.remove_endpoint(endpoint_id)
+        if self._has_later_endpoint(address, started_at):
+            return
         # An endpoint that used this address before is gone; its attempts must not reach the new endpoint.
         previous_id = self.endpoint_id_by_address.get(address, endpoint_id)
         self.remove_endpoint(previous_id)
         self.pools[endpoint_id] = EndpointPool(self, endpoint_id, address, started_at)
         self.endpoint_id_by_address[address] = endpoint_id
 
+    def _has_later_endpoint(self, address: Address, started_at: float) -> bool:
+        """Return whether an endpoint that started later has an address.
+
+        The list may tell of the end of an endpoint only after the start of the next one at its address.
+        """
+        later_id = self.endpoint_id_by_address.get(address)
+        return later_id is not None and self.pools[later_id].started_at > started_at
+
     def remove_endpoint(self, endpoint_id: int) -> None:
         """Remove an endpoint and its pool; attempts whose request was already written continue."""
         pool = self.pools.pop(endpoint_id, None)
