--- a/testbed/flooding_clients.py
+++ b/testbed/flooding_clients.py
@@ -83,6 +83,22 @@
     yield b"".join(request_head(request, "GET", "/class-0") for request in numbers)
 
 
+def readiness_checks(_number: int) -> Iterator[bytes]:
+    """Yield readiness checks without end, without waiting for their responses."""
+    yield from itertools.repeat(b"GET /-/ready HTTP/1.1\r\n\r\n" * 100)
+
+
+def unknown_classes(number: int) -> Iterator[bytes]:
+    """Yield a request of a class that does not exist."""
+    yield request_head(number, "GET", "/no-such-class")
+
+
+def endless_heads(number: int) -> Iterator[bytes]:
+    """Yield a head that never ends."""
+    yield request_head(number, "GET", "/class-0").removesuffix(b"\r\n")
+    yield from itertools.repeat(b"x" * CHUNK_BYTES)
+
+
 def unreadable_bytes(_number: int) -> Iterator[bytes]:
     """Yield bytes that are not HTTP."""
     yield b"\x00\x01 not a request \xff\r\n\r\n" * 64
@@ -157,6 +173,9 @@
     "chunked-bodies": FloodKind(chunked_bodies, reconnects_at_eof=True),
     "one-byte-chunks": FloodKind(one_byte_chunks, reconnects_at_eof=True),
     "pipelined-requests": FloodKind(pipelined_requests, reconnects_at_eof=True),
+    "readiness-checks": FloodKind(readiness_checks, reconnects_at_eof=True),
+    "unknown-classes": FloodKind(unknown_classes, reconnects_at_eof=True),
+    "endless-heads": FloodKind(endless_heads, reconnects_at_eof=True),
     "unreadable-bytes": FloodKind(unreadable_bytes, reconnects_at_eof=True),
     "small-segments": FloodKind(small_segments, pause_seconds=1e-6),
     "half-bodies": FloodKind(half_bodies),
