Show in the soak when a client whose connection was closed began to connect

The open entry of the short soak in KNOWN-RED.txt does not tell whether the gateway or the judge was at fault: a request whose last byte was sent 0.602 s after SIGTERM on a new connection got a close without an answer 0.001 s later. New connections are accepted for 0.6 s, so a close that crosses the request of a client whose process was held up looks like this; so would a close of a connection whose request had been read.

A violation now says when the client began to connect and when it wrote the first byte. A long time between connecting and the first byte is a stall of the client or a close that it could know of; a first byte long before the close is the gateway's fault. No check is changed.

--- a/scaletest/soak/judge.py
+++ b/scaletest/soak/judge.py
@@ -96,10 +96,19 @@
         is_owed_on_new_connection = request.is_first and not soak.script.has_crowd
         if is_forwarded or is_owed_on_new_connection:
             state = "forwarded" if is_forwarded else "on a new connection"
-            return f"{state}, and its connection closed without an answer after {elapsed:.3f} s"
+            text = f"{state}, and its connection closed without an answer after {elapsed:.3f} s"
+            return text + _times_before_sent(request)
     return ""
 
 
+def _times_before_sent(request: RequestRecord) -> str:
+    """Return when the client began to connect and to write; a long time may be a stall of its process."""
+    text = f", first byte written {request.sent_at - request.begun_at:.3f} s before the last"
+    if request.connecting_at:
+        text += f", began to connect {request.sent_at - request.connecting_at:.3f} s before it"
+    return text
+
+
 def _answer_fault(request: RequestRecord, elapsed: float) -> str:
     latest = request.timeout + ANSWER_GRACE_SECONDS + SOCKET_SLACK_SECONDS
     if not request.is_own_body:
--- a/scaletest/soak/load.py
+++ b/scaletest/soak/load.py
@@ -217,10 +217,12 @@
         connection = None if request.is_resent else gateway.take_idle()
         request.is_first = connection is None
         if connection is None:
+            request.connecting_at = time.monotonic()
             connection = await self._connect(gateway)
         self.report.requests.append(request)
         if connection is None:
             return
+        request.begun_at = time.monotonic()
         if await self._write(connection, data):
             request.sent_at = time.monotonic()
             await self._await_answer(connection, request)
--- a/scaletest/soak/records.py
+++ b/scaletest/soak/records.py
@@ -37,6 +37,8 @@
         timeout: The Request-Timeout in seconds.
         is_first: Whether it was the first request on its connection.
         is_resent: Whether it was sent before, on a connection that the gateway closed.
+        connecting_at: When its client began to connect; 0 on a connection that was open before.
+        begun_at: When its first byte was written.
         sent_at: When its last byte was written.
         ended_at: When it ended.
         end: How it ended.
@@ -50,6 +52,8 @@
     timeout: float
     is_first: bool = False
     is_resent: bool = False
+    connecting_at: float = 0.0
+    begun_at: float = 0.0
     sent_at: float = 0.0
     ended_at: float = 0.0
     end: RequestEnd = RequestEnd.NOT_SENT
--- a/tests/scaletest/test_soak.py
+++ b/tests/scaletest/test_soak.py
@@ -230,3 +230,15 @@
 def test_a_short_soak_breaks_no_rule() -> None:
     lines: list[str] = []
     assert command.run_seed(CI_SEED, CI_SECONDS, CI_GATEWAYS, lines.append), "\n".join(lines)
+
+
+# Guards against a violation that does not show whether the gateway or a stalled client was late.
+def test_a_close_without_an_answer_is_shown_with_the_times_of_its_client(soak: SoakRecord) -> None:
+    (request,) = soak.load.requests
+    request.is_first = True
+    request.end = RequestEnd.CLOSED
+    request.connecting_at = SENT_AT - 0.3
+    request.begun_at = SENT_AT - 0.2
+    (violation,) = judge(soak)
+    assert "first byte written 0.200 s before the last" in violation.text
+    assert "began to connect 0.300 s before it" in violation.text
