--- a/testbed/fake_counter.py
+++ b/testbed/fake_counter.py
@@ -48,11 +48,11 @@
 
 
 async def read_call(reader: asyncio.StreamReader) -> list[bytes]:
-    """Read the command and arguments of one call."""
+    """Read the command and arguments of one call; the end of the connection is an IncompleteReadError."""
     parts = []
-    part_count = int((await reader.readline())[1:])
+    part_count = int((await reader.readuntil(b"\r\n"))[1:])
     for _ in range(part_count):
-        size = int((await reader.readline())[1:])
+        size = int((await reader.readuntil(b"\r\n"))[1:])
         part = await reader.readexactly(size + 2)  # including CRLF
         parts.append(part[:-2])
     return parts
