Never give two programs of a test the same port

Cause: the port of each of the 20 programs is found by a probe that is closed again, so the system may choose the same port for two of them. One of the two then ends, as it cannot listen, its readiness check is answered by the other one, and once that is ready it is killed, which resets the connection. The ports of the failed run were not recorded, so that this was its cause is concluded, not seen.

Ports are now given once by each process. The soak had the same function of its own, and uses this one.

--- a/scaletest/soak/runner.py
+++ b/scaletest/soak/runner.py
@@ -6,7 +6,6 @@
 import contextlib
 import json
 import signal
-import socket
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -27,10 +26,10 @@
 )
 from testbed import faulty_discovery, faulty_endpoints
 from testbed.child_process import ChildProcess
-from testbed.fake_server import LOOPBACK
 from testbed.faulty_counter import CounterFault
 from testbed.faulty_discovery import DiscoveryFault, Publish, SetDiscoveryFault
 from testbed.faulty_endpoints import EndpointFault, EndpointReport, SetEndpointFault
+from testbed.free_ports import free_port
 from testbed.idle_clients import IdleClientProcess
 
 if TYPE_CHECKING:
@@ -69,14 +68,6 @@
     processes: list[ProcessRecord]
 
 
-def free_port() -> int:
-    """Return a free port of the loopback address."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 async def run_soak(script: Script, folder: Path) -> SoakRecord:
     """Run a soak; the configurations and logs of the gateways are written to a folder."""
     async with contextlib.AsyncExitStack() as stack:
--- a/tests/process/program.py
+++ b/tests/process/program.py
@@ -6,12 +6,12 @@
 import contextlib
 import os
 import resource
-import socket
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
 from testbed.fake_server import LOOPBACK
+from testbed.free_ports import free_port
 from testbed.http_messages import read_message
 
 if TYPE_CHECKING:
@@ -27,14 +27,6 @@
     port: int
 
 
-def free_port() -> int:
-    """Return a free port."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 @contextlib.asynccontextmanager
 async def running_program(config_path: Path, max_sockets: int | None = None) -> AsyncIterator[RunningProgram]:
     """Run the program, which listens by the time this yields unless it has exited.
--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -16,7 +16,8 @@
 from testbed.fake_discovery import FakeDiscoveryAgent
 from testbed.fake_endpoint import FakeEndpoint
 from testbed.fake_server import LOOPBACK
-from tests.process.program import free_port, readiness_status, running_program
+from testbed.free_ports import free_port
+from tests.process.program import readiness_status, running_program
 from tests.process.services import Services, publish_snapshot, unreachable_host, write_config
 from tests.support.event_loop import async_test
 from tests.support.gateway import config_without
