Accept no more waiting connections at once than may be served

Cause: the acceptor took up to 64 waiting connections at once, also when the table was full. Each connection beyond the maximum evicts another one, so a usual client was evicted, or found the table over its maximum, before its request had come.

At most as many are accepted at once now as may still be served, those that are being accepted included; in a full table the event loop accepts one in each iteration, as before. test_only_the_event_loop_accepts_more_than_may_be_served is new and failed before, with all waiting connections accepted.

--- a/gateway/frontend/acceptor.py
+++ b/gateway/frontend/acceptor.py
@@ -22,20 +22,25 @@
 
     The event loop accepts only one connection in each of its iterations, so while iterations are long, a new
     client would wait for all that have connected before it.  When the loop accepts a connection after some
-    time, the others that wait are therefore accepted too.
+    time, the others that wait are therefore accepted too.  Not more of them than may be served: beyond that,
+    each connection evicts another one, which may be about to send its request.
 
     Attributes:
         server: The event loop's server; None before `start`.
     """
 
-    def __init__(self, create_protocol: Callable[[], asyncio.BaseProtocol]) -> None:
+    def __init__(
+        self, create_protocol: Callable[[], asyncio.BaseProtocol], count_spare_connections: Callable[[], int]
+    ) -> None:
         """Create the acceptor.
 
         Args:
             create_protocol: Returns the protocol of a new connection.
+            count_spare_connections: Returns how many more connections may be served.
         """
         self.server: asyncio.Server | None = None
         self._create_protocol = create_protocol
+        self._count_spare_connections = count_spare_connections
         self._loop = asyncio.get_running_loop()
         self._socket: socket.socket | None = None
         self._last_accept_at = 0.0  # by the event loop, in monotonic seconds
@@ -67,10 +72,11 @@
         return self._create_protocol()
 
     def _accept_waiting(self) -> None:
-        """Accept the connections that wait, up to a limit."""
+        """Accept the connections that wait, up to the limits."""
         if self._socket is None:
             return
-        for _ in range(MAX_ACCEPTS):
+        spare = self._count_spare_connections() - len(self._tasks)
+        for _ in range(min(MAX_ACCEPTS, spare)):
             try:
                 accepted, _address = self._socket.accept()
             except OSError:  # none waits, or no descriptor is left; the event loop reports the latter
--- a/gateway/frontend/connection_table.py
+++ b/gateway/frontend/connection_table.py
@@ -64,6 +64,11 @@
         """Whether there are so many connections that requests are rejected."""
         return len(self.connections) > self.max_connections
 
+    @property
+    def spare_connections(self) -> int:
+        """How many more connections may be served; below 0 while there are too many."""
+        return self.max_connections - len(self.connections)
+
     def add(self, connection: ClientConnection) -> None:
         """Add a new connection; above the maximum, evict a connection without pending requests."""
         self.connections.add(connection)
--- a/gateway/frontend/listener.py
+++ b/gateway/frontend/listener.py
@@ -36,7 +36,7 @@
             limits.max_client_connections, limits.surplus_client_connections
         )
         self.budget = RequestBudget(limits.max_buffered_bytes)
-        self.acceptor = Acceptor(self.create_connection)
+        self.acceptor = Acceptor(self.create_connection, lambda: self.connection_table.spare_connections)
         self._driver = driver
         self._read_scheduler = ReadScheduler(asyncio.get_running_loop())
         self._discard_budget = DiscardBudget()
--- a/tests/frontend/test_acceptor.py
+++ b/tests/frontend/test_acceptor.py
@@ -26,8 +26,10 @@
         self.transports.append(transport)
 
 
-async def started_acceptor(transports: list[asyncio.BaseTransport]) -> Acceptor:
-    acceptor = Acceptor(lambda: Recorder(transports))
+async def started_acceptor(
+    transports: list[asyncio.BaseTransport], max_connections: int = WAITING_COUNT
+) -> Acceptor:
+    acceptor = Acceptor(lambda: Recorder(transports), lambda: max_connections - len(transports))
     await acceptor.start(Address(LOOPBACK, 0))
     return acceptor
 
@@ -80,3 +82,18 @@
         for _ in range(MAX_ITERATIONS):
             await asyncio.sleep(0)
     assert not transports
+
+
+# Guards against a crowd that pushes out connections whose request is about to come, as each connection beyond
+# those that may be served evicts another one.
+@async_test
+async def test_only_the_event_loop_accepts_more_than_may_be_served() -> None:
+    transports: list[asyncio.BaseTransport] = []
+    acceptor = await started_acceptor(transports, max_connections=WAITING_COUNT // 2)
+    with contextlib.ExitStack() as stack:
+        connect(stack, acceptor, WAITING_COUNT)
+        for _ in range(MAX_ITERATIONS):
+            hold_up_the_loop()
+            await asyncio.sleep(0)
+        assert len(transports) <= WAITING_COUNT // 2 + MAX_ITERATIONS
+        acceptor.stop()
