Count no half-closed connections when waiting ones are accepted

Cause: 330 clients that come again as soon as they are turned away leave as many connections behind that have had their last response and whose bytes are still to be discarded.

Half-closed connections are the first to be evicted and lose nothing by it, so they no longer count against the connections that may still be served.

--- a/gateway/frontend/connection_table.py
+++ b/gateway/frontend/connection_table.py
@@ -66,8 +66,11 @@
 
     @property
     def spare_connections(self) -> int:
-        """How many more connections may be served; below 0 while there are too many."""
-        return self.max_connections - len(self.connections)
+        """How many more connections may be served without evicting one whose client may still send.
+
+        Half-closed ones do not count, as they have had their last response and are evicted first.
+        """
+        return self.max_connections + len(self.half_closed) - len(self.connections)
 
     def add(self, connection: ClientConnection) -> None:
         """Add a new connection; above the maximum, evict a connection without pending requests."""
